--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,423 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/semaphore"
+
+	"sableusher/internal/config"
+	"sableusher/internal/member"
+	"sableusher/internal/tuning"
+	"sableusher/internal/wire"
+	"sableusher/internal/world"
+)
+
+// Fleet is this node's workers.
+type Fleet struct {
+	set    *config.Settings
+	world  *world.World
+	member *member.Member
+	fresh  func() time.Time
+	log    *slog.Logger
+	http   *http.Client
+	lanes  *semaphore.Weighted
+
+	mu       sync.Mutex
+	machines map[string]*machine
+	wishes   map[key]Wish
+	bounced  map[string]time.Time // workers sent to a part's owner
+	changed  chan struct{}
+	kicks    chan string
+	adopt    map[string]wire.Report
+}
+
+// New makes the fleet; fresh tells as of when the view is complete.
+func New(set *config.Settings, w *world.World, mem *member.Member, fresh func() time.Time, log *slog.Logger, rt http.RoundTripper) *Fleet {
+	if rt == nil {
+		rt = &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: tuning.OrderTimeout}).DialContext,
+			MaxIdleConnsPerHost: 1, IdleConnTimeout: tuning.IdleTimeout, DisableCompression: true,
+		}
+	}
+	return &Fleet{
+		set: set, world: w, member: mem, fresh: fresh, log: log,
+		http: &http.Client{Transport: rt}, lanes: semaphore.NewWeighted(tuning.OrderLanes),
+		machines: map[string]*machine{}, wishes: map[key]Wish{}, bounced: map[string]time.Time{},
+		changed: make(chan struct{}, 1), kicks: make(chan string, 1024), adopt: map[string]wire.Report{},
+	}
+}
+
+// Changed is poked after reports that may free room or move tasks.
+func (f *Fleet) Changed() <-chan struct{} { return f.changed }
+
+func (f *Fleet) poke() {
+	select {
+	case f.changed <- struct{}{}:
+	default:
+	}
+}
+
+// staleLimit is the age of the view up to which leases are renewed: a
+// cancellation that the view has not seen must still end with the lease in time.
+func (f *Fleet) staleLimit() time.Duration {
+	free := f.set.Cancel() - f.set.Lease()
+	return time.Duration(float64(free)*(1-2*tuning.ClockDrift)) - tuning.LeaseMargin
+}
+
+// Beat answers a worker's report.
+func (f *Fleet) Beat(r *wire.Report) (int, any) {
+	now := time.Now()
+	f.world.RLock()
+	defer f.world.RUnlock()
+	part := world.PartOf(r.Machine, f.world.Size)
+	token, entitled := f.member.Entitled(part)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !entitled {
+		owner, live := f.member.OwnerOf(part)
+		last := f.bounced[r.Machine]
+		f.bounced[r.Machine] = now
+		// A worker that comes back at once did not get through to the owner:
+		// naming it again would make a loop.
+		if !live || now.Sub(last) < 2*time.Second {
+			owner = ""
+		}
+		delete(f.machines, r.Machine)
+		return http.StatusMisdirectedRequest, wire.Redirect{ReportTo: owner}
+	}
+	fresh := f.fresh()
+	if fresh.IsZero() || now.Sub(fresh) > f.staleLimit() {
+		return http.StatusServiceUnavailable, nil
+	}
+	rec := f.world.Machines[r.Machine]
+	if rec != nil && rec.Gone {
+		return http.StatusServiceUnavailable, nil
+	}
+	m := f.machines[r.Machine]
+	if m == nil {
+		m = newMachine(r.Machine)
+		f.machines[r.Machine] = m
+	}
+	if !m.observe(r, true, now) {
+		return http.StatusServiceUnavailable, nil
+	}
+	f.poke()
+	out := wire.Orders{Token: token, Orders: []wire.Order{}}
+	if rec == nil || !rec.Up || rec.Address != r.Address {
+		f.adopt[r.Machine] = *r
+	}
+	if _, _, owns := f.member.Owns(part); rec != nil && owns {
+		out.Orders = append(out.Orders, m.orders(rec.Bound, f.known, f.wish, token, r.Seq, now)...)
+	}
+	return http.StatusOK, out
+}
+
+// known tells whether the records have reached this attempt of the task: it is
+// bound elsewhere, was given up, or its job is over. Otherwise the view is
+// older than the report. Callers hold both locks.
+func (f *Fleet) known(ref world.TaskRef, attempt uint64) bool {
+	j := f.world.Jobs[ref.Job]
+	if j == nil {
+		return true // starts follow durable bindings, so the job was there and is over
+	}
+	if !j.Known || ref.Index >= j.Spec.Tasks {
+		return false
+	}
+	t := j.Task(ref.Index)
+	return t.Attempt > attempt || t.Attempt == attempt && t.State != world.Bound
+}
+
+// wish tells whether a bound task is to stop. Callers hold both locks.
+func (f *Fleet) wish(b world.Binding) (Wish, bool) {
+	if b.Job.Cancelled() {
+		return Wish{}, true
+	}
+	w, ok := f.wishes[key{b.Ref, b.Attempt}]
+	return w, ok
+}
+
+// Stop asks for a bound task to be stopped with a grace.
+func (f *Fleet) Stop(b world.Binding, machine string, graceS float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	k := key{b.Ref, b.Attempt}
+	if w, ok := f.wishes[k]; ok && w.GraceS <= graceS {
+		return
+	}
+	f.wishes[k] = Wish{Stop: true, GraceS: graceS, At: time.Now()}
+	f.kick(machine)
+}
+
+// Stopping tells whether a stop was asked for.
+func (f *Fleet) Stopping(b world.Binding) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, ok := f.wish(b)
+	return ok
+}
+
+// Kick asks for direct orders to a machine, ahead of its next report.
+func (f *Fleet) Kick(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.kick(name)
+}
+
+func (f *Fleet) kick(name string) {
+	select {
+	case f.kicks <- name:
+	default: // its next report brings the orders
+	}
+}
+
+// Run sends direct orders until ctx ends.
+func (f *Fleet) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	tick := time.NewTicker(f.set.Report())
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case name := <-f.kicks:
+			if f.lanes.Acquire(ctx, 1) != nil {
+				return ctx.Err()
+			}
+			wg.Go(func() {
+				defer f.lanes.Release(1)
+				f.send(ctx, name)
+			})
+		case <-tick.C:
+			f.sweep()
+		}
+	}
+}
+
+// sweep forgets what no record and no report needs any more.
+func (f *Fleet) sweep() {
+	f.world.RLock()
+	defer f.world.RUnlock()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	for k, w := range f.wishes {
+		j := f.world.Jobs[k.ref.Job]
+		if j == nil || !j.Known {
+			delete(f.wishes, k)
+			continue
+		}
+		if t := j.Task(k.ref.Index); t.State != world.Bound || t.Attempt != k.attempt {
+			if now.Sub(w.At) > time.Second {
+				delete(f.wishes, k)
+			}
+		}
+	}
+	for n, at := range f.bounced {
+		if now.Sub(at) > time.Minute {
+			delete(f.bounced, n)
+		}
+	}
+	for n, m := range f.machines {
+		_, owned := f.member.Entitled(world.PartOf(n, f.world.Size))
+		if f.world.Machines[n] == nil && now.Sub(m.heard) > f.set.Lease() || !owned {
+			delete(f.machines, n)
+			delete(f.adopt, n)
+		}
+	}
+}
+
+// send gives a machine its orders directly. One command is on its way at a
+// time; after a failure the next report is awaited.
+func (f *Fleet) send(ctx context.Context, name string) {
+	f.world.RLock()
+	rec := f.world.Machines[name]
+	token, _, owns := f.member.Owns(world.PartOf(name, f.world.Size))
+	if rec == nil || rec.Gone || !owns || time.Since(f.fresh()) > f.staleLimit() {
+		f.world.RUnlock()
+		return
+	}
+	f.mu.Lock()
+	m := f.machines[name]
+	if m == nil {
+		m = newMachine(name)
+		f.machines[name] = m
+	}
+	if m.address == "" {
+		m.address = rec.Address
+	}
+	if m.direct || m.address == "" || m.directAt.After(m.heard) && time.Since(m.directAt) < f.set.Report() {
+		f.mu.Unlock()
+		f.world.RUnlock()
+		return
+	}
+	cmd := wire.DirectOrders{Token: token, Session: max(m.session, 1), Orders: []wire.Order{}}
+	if m.session != 0 {
+		cmd.Orders = append(cmd.Orders, m.orders(rec.Bound, f.known, f.wish, token, 0, time.Now())...)
+	}
+	if len(cmd.Orders) == 0 && m.token == token {
+		f.mu.Unlock()
+		f.world.RUnlock()
+		return
+	}
+	m.direct = true
+	address := m.address
+	f.mu.Unlock()
+	f.world.RUnlock()
+
+	rep, status, err := f.post(ctx, address, cmd)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m.direct = false
+	m.answered(cmd.Orders, cmd.Session, token, err == nil)
+	if err != nil {
+		m.directAt = time.Now()
+		f.log.Debug("orders unanswered", "machine", name, "err", err)
+		return
+	}
+	if rep != nil && rep.Machine == name {
+		old := m.session
+		if m.observe(rep, false, time.Now()) {
+			f.poke()
+			if m.session != old || m.token < token {
+				f.kick(name) // a new session, or the first word: orders can follow now
+			}
+		}
+	}
+	if status != http.StatusOK {
+		f.log.Debug("orders refused", "machine", name, "status", status)
+	}
+}
+
+func (f *Fleet) post(ctx context.Context, address string, cmd wire.DirectOrders) (*wire.Report, int, error) {
+	b, err := wire.Encode(cmd)
+	if err != nil {
+		return nil, 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, tuning.OrderTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/orders", bytes.NewReader(b))
+	if err != nil {
+		return nil, 0, fmt.Errorf("orders: %w", err)
+	}
+	req.Header.Set("Content-Type", wire.ContentType)
+	resp, err := f.http.Do(req)
+	if err != nil {
+		return nil, 0, fmt.Errorf("orders: %w", err)
+	}
+	defer resp.Body.Close()
+	body, err := wire.ReadBody(resp.Body, tuning.StateBody)
+	if err != nil {
+		return nil, 0, fmt.Errorf("orders: %w", err)
+	}
+	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusConflict {
+		return nil, resp.StatusCode, fmt.Errorf("orders: status %d", resp.StatusCode)
+	}
+	var rep wire.Report
+	if err := wire.Decode(body, &rep); err != nil {
+		return nil, resp.StatusCode, err
+	}
+	return &rep, resp.StatusCode, nil
+}
+
+// State is what placement needs to know of a machine.
+type State struct {
+	Heard   time.Time
+	Session uint64
+	Usable  bool // heard lately, under our token, no notice, no refusal
+	Recall  time.Time
+	Doubt   bool // a direct start without an answer is left
+	Errors  int
+}
+
+// Look gives a machine's state under a token.
+func (f *Fleet) Look(name string, token uint64) State {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.machines[name]
+	if m == nil {
+		return State{}
+	}
+	now := time.Now()
+	s := State{Heard: m.heard, Session: m.session, Recall: m.recall, Errors: len(m.errors), Doubt: m.doubt(token)}
+	silent := time.Duration(tuning.SilentAfter * float64(f.set.Report()))
+	s.Usable = m.session != 0 && m.token == token && m.recall.IsZero() && now.Sub(m.heard) < silent &&
+		now.Sub(m.refused) > tuning.RefuseHold && len(m.errors) < tuning.MachineErrors
+	return s
+}
+
+// Task is a bound task's fate with what was reported.
+type Task struct {
+	Fate  Fate
+	State string
+	Cause string
+	Saved bool
+	Since time.Time
+}
+
+// Fate tells what became of a binding.
+func (f *Fleet) Fate(b world.Binding, name string, token uint64) Task {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.machines[name]
+	if m == nil {
+		return Task{}
+	}
+	fate, s := m.fate(b, token)
+	return Task{fate, s.State, s.Cause, s.Saved, s.since}
+}
+
+// HasImage tells whether a machine is believed to hold an image.
+func (f *Fleet) HasImage(name, image string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.machines[name]
+	if m == nil {
+		return false
+	}
+	_, ok := m.images[image]
+	return ok
+}
+
+// NoteImage records that a machine holds an image.
+func (f *Fleet) NoteImage(name, image string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m := f.machines[name]; m != nil {
+		m.images[image] = time.Now()
+	}
+}
+
+// NoteRefused keeps a machine out of placement for a while.
+func (f *Fleet) NoteRefused(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m := f.machines[name]; m != nil {
+		m.refused = time.Now()
+	}
+}
+
+// NoteError records that a job's task failed on a machine.
+func (f *Fleet) NoteError(name, job string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m := f.machines[name]; m != nil {
+		m.errors[job] = time.Now()
+	}
+}
+
+// Adoptions takes the machines whose records are missing or behind.
+func (f *Fleet) Adoptions() map[string]wire.Report {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := f.adopt
+	f.adopt = map[string]wire.Report{}
+	return out
+}
--- /dev/null
+++ b/internal/intake/intake.go
@@ -0,0 +1,369 @@
+// Package intake serves the users' API, the workers' reports and the health
+// and metrics pages.
+package intake
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"sableusher/internal/config"
+	"sableusher/internal/store"
+	"sableusher/internal/tuning"
+	"sableusher/internal/wire"
+	"sableusher/internal/world"
+)
+
+// Records is what the intake needs of the state service.
+type Records interface {
+	Get(ctx context.Context, key string) (wire.Row, error)
+}
+
+// Committer commits items.
+type Committer interface {
+	Do(ctx context.Context, it store.Item) (uint64, error)
+}
+
+// View is the read barrier over the world.
+type View interface {
+	Sync(ctx context.Context) error
+	Fresh() time.Time
+}
+
+// Workers answers reports.
+type Workers interface {
+	Beat(r *wire.Report) (int, any)
+}
+
+// Intake is the server's handlers.
+type Intake struct {
+	world   *world.World
+	records Records
+	commit  Committer
+	view    View
+	workers Workers
+	teams   map[string]config.Team
+	log     *slog.Logger
+	slots   chan struct{}
+
+	mu     sync.Mutex
+	finals map[string]world.FinalRecord
+	order  []string
+}
+
+// New makes the handlers.
+func New(set *config.Settings, w *world.World, rec Records, c Committer, v View, workers Workers, log *slog.Logger) *Intake {
+	in := &Intake{world: w, records: rec, commit: c, view: v, workers: workers, teams: map[string]config.Team{}, log: log,
+		slots: make(chan struct{}, tuning.BusyRequests), finals: map[string]world.FinalRecord{}}
+	for _, t := range set.Deployment.Teams {
+		in.teams[t.Name] = t
+	}
+	return in
+}
+
+// Handler routes the requests.
+func (in *Intake) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/ready", in.ready)
+	r.Handle("/metrics", promhttp.Handler())
+	r.Post("/agent/beat", in.beat)
+	r.Group(func(r chi.Router) {
+		r.Use(in.shed)
+		r.Post("/v1/jobs", in.submit)
+		r.Get("/v1/jobs/{id}", in.poll)
+		r.Post("/v1/jobs/{id}/abort", in.abort)
+	})
+	return r
+}
+
+// shed answers at once when too many requests are being served.
+func (in *Intake) shed(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case in.slots <- struct{}{}:
+			defer func() { <-in.slots }()
+			next.ServeHTTP(w, r)
+		default:
+			unavailable(w, "busy")
+		}
+	})
+}
+
+func unavailable(w http.ResponseWriter, why string) {
+	w.Header().Set("Retry-After", strconv.Itoa(tuning.RetryAfterS))
+	wire.Reply(w, http.StatusServiceUnavailable, wire.Problem{Error: why})
+}
+
+func (in *Intake) ready(w http.ResponseWriter, _ *http.Request) {
+	fresh := in.view.Fresh()
+	if fresh.IsZero() || time.Since(fresh) > tuning.ReadyStale {
+		unavailable(w, "no view of the state service")
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (in *Intake) beat(w http.ResponseWriter, r *http.Request) {
+	b, err := wire.ReadBody(r.Body, tuning.StateBody)
+	var rep wire.Report
+	if err == nil {
+		err = wire.Decode(b, &rep)
+	}
+	if err != nil || rep.Machine == "" || rep.Session == 0 {
+		in.log.Info("unreadable report", "err", err)
+		wire.Reply(w, http.StatusBadRequest, wire.Problem{Error: "unreadable report"})
+		return
+	}
+	status, body := in.workers.Beat(&rep)
+	wire.Reply(w, status, body)
+}
+
+func (in *Intake) submit(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), tuning.SubmitTimeout)
+	defer cancel()
+	b, err := wire.ReadBody(r.Body, tuning.BodyLimit)
+	var spec *wire.Spec
+	if err == nil {
+		spec, err = wire.DecodeSpec(b)
+	}
+	if err != nil {
+		in.log.Debug("submission malformed", "err", err)
+		wire.Reply(w, http.StatusBadRequest, wire.Problem{Error: err.Error()})
+		return
+	}
+	in.world.RLock()
+	live := in.world.Jobs[spec.ID]
+	known := live != nil && live.Known
+	types := len(in.world.Types)
+	why := in.impossible(spec)
+	in.world.RUnlock()
+	if !known {
+		// A job that is known stands, whatever the repeated request says now.
+		if why != "" {
+			switch status, err := in.status(ctx, spec.ID); {
+			case err == nil:
+				wire.Reply(w, http.StatusOK, wire.Accepted{ID: spec.ID, Status: status.Status})
+			case errors.Is(err, store.ErrNotFound):
+				wire.Reply(w, http.StatusUnprocessableEntity, wire.Problem{Error: why})
+			default:
+				unavailable(w, "state service away")
+			}
+			return
+		}
+		if types == 0 {
+			unavailable(w, "machine types not known yet")
+			return
+		}
+		rec := world.JobRecord{Spec: *spec, AtMs: time.Now().UnixMilli()}
+		key := world.JobKey(spec.ID)
+		_, err := in.commit.Do(ctx, store.Item{
+			Guards: []wire.Guard{{Key: key}, {Key: world.FinalKey(spec.ID)}},
+			Ops:    []wire.Op{store.Set(key, rec)},
+		})
+		if err == nil {
+			in.log.Debug("job accepted", "job", spec.ID, "class", spec.Class, "kind", spec.Kind, "tasks", spec.Tasks)
+			wire.Reply(w, http.StatusCreated, wire.Accepted{ID: spec.ID, Status: wire.JobPending})
+			return
+		}
+		if !errors.Is(err, store.ErrGuard) {
+			unavailable(w, "state service away")
+			return
+		}
+	}
+	status, err := in.status(ctx, spec.ID)
+	if err != nil {
+		unavailable(w, "state service away")
+		return
+	}
+	wire.Reply(w, http.StatusOK, wire.Accepted{ID: spec.ID, Status: status.Status})
+}
+
+// impossible says why a job can never run; empty if it can, or if the machine
+// types are not known. Callers hold the world's lock.
+func (in *Intake) impossible(s *wire.Spec) string {
+	team, ok := in.teams[s.Team]
+	if !ok {
+		return "unknown team"
+	}
+	need := world.Need(s)
+	n := float64(s.Tasks)
+	if s.Kind == wire.KindArray {
+		n = 1
+	}
+	if team.CPUsMax > 0 && n*need.CPUs > team.CPUsMax+1e-6 || team.GPUsMax > 0 && n*need.GPUs > team.GPUsMax+1e-6 {
+		return "more than the team's limit"
+	}
+	if s.OneZone && s.Spread && s.Tasks > 1 {
+		return "one zone and spread exclude each other"
+	}
+	if len(in.world.Types) == 0 {
+		return ""
+	}
+	for name, t := range in.world.Types {
+		if len(s.Types) > 0 && !contains(s.Types, name) || s.Zone != "" && !contains(t.Zones, s.Zone) {
+			continue
+		}
+		if need.Within(world.Capacity(&t)) {
+			return ""
+		}
+	}
+	return "a task fits no allowed machine type"
+}
+
+func contains(list []string, v string) bool {
+	for _, s := range list {
+		if s == v {
+			return true
+		}
+	}
+	return false
+}
+
+func (in *Intake) poll(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), tuning.PollTimeout)
+	defer cancel()
+	id := chi.URLParam(r, "id")
+	if !wire.ValidID(id) {
+		wire.Reply(w, http.StatusNotFound, wire.Problem{Error: "no such job"})
+		return
+	}
+	st, err := in.status(ctx, id)
+	switch {
+	case err == nil:
+		wire.Reply(w, http.StatusOK, st)
+	case errors.Is(err, store.ErrNotFound):
+		wire.Reply(w, http.StatusNotFound, wire.Problem{Error: "no such job"})
+	default:
+		unavailable(w, "state service away")
+	}
+}
+
+// status gives a job's state as of after the call, or ErrNotFound if it was
+// never accepted; any other error means that neither is certain.
+func (in *Intake) status(ctx context.Context, id string) (wire.Status, error) {
+	if f, ok := in.final(id); ok {
+		return finalStatus(id, f), nil
+	}
+	// Another node may have told the user more than this view holds: wait for
+	// a revision fetched after the request came.
+	if err := in.view.Sync(ctx); err != nil {
+		return wire.Status{}, fmt.Errorf("barrier: %w", err)
+	}
+	in.world.RLock()
+	if j := in.world.Jobs[id]; j != nil && j.Known {
+		st := live(id, j)
+		in.world.RUnlock()
+		return st, nil
+	}
+	in.world.RUnlock()
+	// Not live after the barrier: it is over, or was never accepted before it.
+	row, err := in.records.Get(ctx, world.FinalKey(id))
+	if err != nil {
+		return wire.Status{}, err
+	}
+	var f world.FinalRecord
+	if err := wire.Decode(row.Value, &f); err != nil {
+		return wire.Status{}, err
+	}
+	in.remember(id, f)
+	return finalStatus(id, f), nil
+}
+
+func live(id string, j *world.Job) wire.Status {
+	st := wire.Status{ID: id, Status: wire.JobPending, Done: j.Done, Running: j.Bound}
+	switch {
+	case j.Cancelled():
+		st.Status = wire.JobCancelled
+	case j.Done == j.Spec.Tasks:
+		st.Status = wire.JobDone
+	case j.Bound > 0:
+		st.Status = wire.JobRunning
+	}
+	return st
+}
+
+func finalStatus(id string, f world.FinalRecord) wire.Status {
+	return wire.Status{ID: id, Status: f.Status, Done: f.Done}
+}
+
+func (in *Intake) final(id string) (world.FinalRecord, bool) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	f, ok := in.finals[id]
+	return f, ok
+}
+
+// remember keeps the newest final records; they never change.
+func (in *Intake) remember(id string, f world.FinalRecord) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if _, ok := in.finals[id]; ok {
+		return
+	}
+	in.finals[id] = f
+	in.order = append(in.order, id)
+	if len(in.order) > tuning.FinalsCached {
+		delete(in.finals, in.order[0])
+		in.order = in.order[1:]
+	}
+}
+
+func (in *Intake) abort(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), tuning.SubmitTimeout)
+	defer cancel()
+	id := chi.URLParam(r, "id")
+	if !wire.ValidID(id) {
+		wire.Reply(w, http.StatusNotFound, wire.Problem{Error: "no such job"})
+		return
+	}
+	for ctx.Err() == nil {
+		st, err := in.status(ctx, id)
+		if errors.Is(err, store.ErrNotFound) {
+			wire.Reply(w, http.StatusNotFound, wire.Problem{Error: "no such job"})
+			return
+		}
+		if err != nil {
+			break
+		}
+		if st.Status == wire.JobDone || st.Status == wire.JobCancelled {
+			wire.Reply(w, http.StatusOK, wire.Accepted{ID: id, Status: st.Status})
+			return
+		}
+		it, ok := in.cancellation(id)
+		if !ok {
+			continue
+		}
+		if _, err = in.commit.Do(ctx, it); err == nil {
+			in.log.Debug("job cancelled", "job", id)
+			wire.Reply(w, http.StatusOK, wire.Accepted{ID: id, Status: wire.JobCancelled})
+			return
+		}
+		if !errors.Is(err, store.ErrGuard) {
+			break
+		}
+	}
+	unavailable(w, "state service away")
+}
+
+// cancellation marks a live job's record. The record's stamp guards it, so that
+// no task can be bound under the old one afterwards.
+func (in *Intake) cancellation(id string) (store.Item, bool) {
+	in.world.RLock()
+	defer in.world.RUnlock()
+	j := in.world.Jobs[id]
+	if j == nil || !j.Known || j.Cancelled() {
+		return store.Item{}, false
+	}
+	marked := *j
+	marked.CancelMs = max(time.Now().UnixMilli(), 1)
+	key, raw := marked.Encode(0, nil)
+	return store.Item{Guards: []wire.Guard{{Key: key, Stamp: j.Stamp}}, Ops: []wire.Op{{Set: key, Value: raw}}, Urgent: true}, true
+}
--- /dev/null
+++ b/internal/member/member.go
@@ -0,0 +1,322 @@
+// Package member keeps a node's session and the ownership of parts: one owner a
+// part, a fencing token that every change of owner raises, and a leader.
+package member
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"sableusher/internal/store"
+	"sableusher/internal/tuning"
+	"sableusher/internal/wire"
+	"sableusher/internal/world"
+)
+
+// Member is this node's membership.
+type Member struct {
+	Self  string
+	Inc   uint64 // this process, among all that ran under the name
+	nodes []string
+
+	client *store.Client
+	commit *store.Committer
+	cache  *store.Cache
+	world  *world.World
+	log    *slog.Logger
+
+	mu     sync.Mutex
+	hold   uint64
+	orphan map[int]time.Time    // since when a part has no live owner
+	seen   map[string]time.Time // since when a node's session is present
+	fences map[int]bool
+}
+
+// New makes the membership of node self among nodes.
+func New(self string, inc uint64, nodes []string, c *store.Client, commit *store.Committer, cache *store.Cache, w *world.World, log *slog.Logger) *Member {
+	return &Member{Self: self, Inc: inc, nodes: nodes, client: c, commit: commit, cache: cache, world: w, log: log,
+		orphan: map[int]time.Time{}, seen: map[string]time.Time{}, fences: map[int]bool{}}
+}
+
+// Run keeps the session and takes parts until ctx ends.
+func (m *Member) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return m.session(ctx) })
+	g.Go(func() error {
+		changed := m.world.Subscribe()
+		tick := time.NewTicker(tuning.MemberTick)
+		defer tick.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-tick.C:
+			case <-changed:
+			}
+			m.review(ctx)
+		}
+	})
+	return g.Wait()
+}
+
+func (m *Member) session(ctx context.Context) error {
+	tick := time.NewTicker(tuning.SessionRenew)
+	defer tick.Stop()
+	var hold uint64
+	registered := false
+	for {
+		var err error
+		if hold == 0 {
+			hold, err = m.client.OpenHold(ctx, tuning.SessionTTL)
+			registered = false
+		} else if err = m.client.TouchHold(ctx, hold); errors.Is(err, store.ErrNotFound) {
+			m.log.Info("session ended, opening another")
+			hold = 0
+			continue
+		}
+		if err == nil && !registered {
+			op := store.Set(world.NodeKey(m.Self), world.NodeRecord{Inc: m.Inc})
+			op.Hold = hold
+			_, err = m.commit.Do(ctx, store.Item{Ops: []wire.Op{op}, Urgent: true})
+			if errors.Is(err, store.ErrRefused) {
+				hold = 0
+			}
+			if registered = err == nil; registered {
+				m.log.Info("session open", "node", m.Self, "incarnation", m.Inc)
+				m.mu.Lock()
+				m.hold = hold
+				m.mu.Unlock()
+			}
+		}
+		if err != nil && ctx.Err() == nil {
+			m.log.Debug("session", "err", err)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+	}
+}
+
+// home is the node a part belongs to when all are well.
+func (m *Member) home(part int) string {
+	if part == world.Leader {
+		return m.nodes[0]
+	}
+	return m.nodes[part%len(m.nodes)]
+}
+
+// mine tells whether the record names this process.
+func (m *Member) mine(p world.Part) bool { return p.Owner == m.Self && p.Inc == m.Inc }
+
+// Owns tells whether this node owns a part and has seen all that was written
+// before it took it. Callers hold the world's lock. The stamp is the guard of
+// every write for the part.
+func (m *Member) Owns(part int) (token, stamp uint64, ok bool) {
+	p, known := m.world.Parts[part]
+	if !known || !m.mine(p) {
+		return 0, 0, false
+	}
+	return p.Token, p.Stamp, m.cache.Revision() >= p.Stamp && !m.fencing(part)
+}
+
+// Entitled tells whether this node may answer a part's workers, though it may
+// not have rebuilt yet. Callers hold the world's lock.
+func (m *Member) Entitled(part int) (token uint64, ok bool) {
+	p, known := m.world.Parts[part]
+	return p.Token, known && m.mine(p)
+}
+
+// OwnerOf names a part's owner and tells whether its session lives. Callers
+// hold the world's lock.
+func (m *Member) OwnerOf(part int) (string, bool) {
+	p, ok := m.world.Parts[part]
+	if !ok {
+		return "", false
+	}
+	n, live := m.world.Nodes[p.Owner]
+	return p.Owner, live && n.Inc == p.Inc
+}
+
+func (m *Member) fencing(part int) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.fences[part]
+}
+
+type claim struct {
+	part  int
+	rec   world.PartRecord
+	item  store.Item
+	owner string
+}
+
+// review looks for parts to take and parts to hand back.
+func (m *Member) review(ctx context.Context) {
+	if m.cache.Fresh().IsZero() || time.Since(m.cache.Fresh()) > tuning.ReadyStale {
+		return
+	}
+	for _, c := range m.claims() {
+		ctx, cancel := context.WithTimeout(ctx, 2*tuning.StateTimeout)
+		_, err := m.commit.Do(ctx, c.item)
+		cancel()
+		if err != nil {
+			m.log.Info("part not taken", "part", c.part, "err", err)
+			continue
+		}
+		m.log.Info("part changes owner", "part", c.part, "owner", c.rec.Owner, "token", c.rec.Token, "before", c.owner)
+		// A new owner may act only once its view reaches its own record.
+		sctx, scancel := context.WithTimeout(ctx, tuning.StateTimeout)
+		_ = m.cache.Sync(sctx)
+		scancel()
+	}
+}
+
+func (m *Member) claims() []claim {
+	now := time.Now()
+	m.world.RLock()
+	defer m.world.RUnlock()
+	self, live := m.world.Nodes[m.Self]
+	for n := range m.world.Nodes {
+		if _, ok := m.seen[n]; !ok {
+			m.seen[n] = now
+		}
+	}
+	for n := range m.seen {
+		if _, ok := m.world.Nodes[n]; !ok {
+			delete(m.seen, n)
+		}
+	}
+	if !live || self.Inc != m.Inc {
+		return nil
+	}
+	owned := 0
+	for _, p := range m.world.Parts {
+		if m.mine(p) {
+			owned++
+		}
+	}
+	var out []claim
+	selfGuard := wire.Guard{Key: world.NodeKey(m.Self), Stamp: self.Stamp}
+	for part := world.Leader; part < m.world.Size; part++ {
+		p, known := m.world.Parts[part]
+		owner, alive := m.world.Nodes[p.Owner]
+		ownerLives := known && alive && owner.Inc == p.Inc
+		if ownerLives {
+			delete(m.orphan, part)
+			if c, ok := m.handBack(part, p, selfGuard, now); ok {
+				out = append(out, c)
+			}
+			continue
+		}
+		if m.mine(p) {
+			continue // our session lapsed, but nobody has taken the part
+		}
+		since, ok := m.orphan[part]
+		if !ok {
+			since = now
+			m.orphan[part] = now
+		}
+		wait := time.Duration(owned) * tuning.TakeoverStep
+		if m.home(part) != m.Self && p.Owner != m.Self {
+			if h, up := m.world.Nodes[m.home(part)]; up && (h.Inc != p.Inc || m.home(part) != p.Owner) || !known {
+				wait += tuning.HomeGrace
+			}
+		} else {
+			wait = 0
+		}
+		if now.Sub(since) < wait {
+			continue
+		}
+		rec := world.PartRecord{Owner: m.Self, Inc: m.Inc, Token: p.Token + 1}
+		guards := []wire.Guard{{Key: world.PartKey(part), Stamp: p.Stamp}, selfGuard}
+		if p.Owner != m.Self && p.Owner != "" {
+			// Absent, or present as another process: either way the owner's session is gone.
+			guards = append(guards, wire.Guard{Key: world.NodeKey(p.Owner), Stamp: owner.Stamp})
+		}
+		out = append(out, claim{part, rec, store.Item{Guards: guards, Ops: []wire.Op{store.Set(world.PartKey(part), rec)}, Urgent: true}, p.Owner})
+		owned++
+	}
+	return out
+}
+
+// handBack returns a part to its home once that node has been back for a while,
+// so that a crash does not leave all parts with one node.
+func (m *Member) handBack(part int, p world.Part, selfGuard wire.Guard, now time.Time) (claim, bool) {
+	home := m.home(part)
+	if part == world.Leader || !m.mine(p) || home == m.Self || m.fencing(part) {
+		return claim{}, false
+	}
+	h, ok := m.world.Nodes[home]
+	if !ok || now.Sub(m.seen[home]) < tuning.HandBackAfter {
+		return claim{}, false
+	}
+	rec := world.PartRecord{Owner: home, Inc: h.Inc, Token: p.Token + 1}
+	return claim{part, rec, store.Item{
+		Guards: []wire.Guard{{Key: world.PartKey(part), Stamp: p.Stamp}, selfGuard, {Key: world.NodeKey(home), Stamp: h.Stamp}},
+		Ops:    []wire.Op{store.Set(world.PartKey(part), rec)}, Urgent: true,
+	}, m.Self}, true
+}
+
+// Fence rewrites a part's record, so that no earlier transaction guarded by it
+// can be applied any more; raise also raises the token, which fences commands
+// on the way to workers. It returns once the view holds all that came before.
+// Until then Owns says no. Only one fence of a part runs at a time.
+func (m *Member) Fence(ctx context.Context, part int, raise bool) {
+	m.mu.Lock()
+	if m.fences[part] {
+		m.mu.Unlock()
+		return
+	}
+	m.fences[part] = true
+	m.mu.Unlock()
+	defer func() {
+		m.mu.Lock()
+		delete(m.fences, part)
+		m.mu.Unlock()
+	}()
+	for ctx.Err() == nil {
+		m.world.RLock()
+		p, known := m.world.Parts[part]
+		m.world.RUnlock()
+		if !known || !m.mine(p) {
+			return
+		}
+		rec := p.PartRecord
+		rec.Touch++
+		if raise {
+			rec.Token++
+		}
+		tctx, cancel := context.WithTimeout(ctx, 2*tuning.StateTimeout)
+		_, err := m.commit.Do(tctx, store.Item{
+			Guards: []wire.Guard{{Key: world.PartKey(part), Stamp: p.Stamp}},
+			Ops:    []wire.Op{store.Set(world.PartKey(part), rec)}, Urgent: true,
+		})
+		if err == nil {
+			err = m.cache.Sync(tctx)
+		} else {
+			_ = m.cache.Sync(tctx) // it may have been applied: look again
+		}
+		cancel()
+		if err == nil {
+			m.log.Info("part fenced", "part", part, "token", rec.Token)
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(tuning.UnknownPause):
+		}
+	}
+}
+
+// Nodes lists all nodes in the agreed order.
+func (m *Member) Nodes() []string { return slices.Clone(m.nodes) }
+
+// Seen tells whether the view holds everything up to a revision.
+func (m *Member) Seen(rev uint64) bool { return m.cache.Revision() >= rev }
--- /dev/null
+++ b/internal/place/engine.go
@@ -0,0 +1,234 @@
+// Package place decides which waiting task starts on which machine, carries out
+// what became of bound tasks, and changes the jobs' records accordingly.
+package place
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"sableusher/internal/config"
+	"sableusher/internal/fleet"
+	"sableusher/internal/member"
+	"sableusher/internal/quota"
+	"sableusher/internal/store"
+	"sableusher/internal/tuning"
+	"sableusher/internal/wire"
+	"sableusher/internal/world"
+)
+
+// Engine runs the placement rounds of this node's parts.
+type Engine struct {
+	set    *config.Settings
+	op     *config.Operator
+	world  *world.World
+	member *member.Member
+	fleet  *fleet.Fleet
+	commit *store.Committer
+	quota  *quota.Keeper
+	log    *slog.Logger
+
+	mu      sync.Mutex
+	ctx     context.Context
+	busy    map[string]bool // records with a change on its way
+	moving  map[uint64]*change
+	nextID  uint64
+	backoff map[string]retry
+	waits   map[world.TaskRef]time.Time // since when a task waits though room was seen
+	forming map[string]time.Time
+	held    map[string]reserve // machines on which room is being freed
+	owned   map[int]time.Time  // since when a part is ours
+	gone    map[string]bool    // machines whose deletion the cloud has confirmed
+	deaths  []time.Time
+	fenced  map[int]time.Time
+	demand  Demand
+	again   chan struct{}
+}
+
+type retry struct {
+	until time.Time
+	pause time.Duration
+}
+
+type reserve struct {
+	ref   world.TaskRef
+	until time.Time
+}
+
+// New makes an engine.
+func New(set *config.Settings, op *config.Operator, w *world.World, m *member.Member, f *fleet.Fleet, c *store.Committer, log *slog.Logger) *Engine {
+	return &Engine{
+		set: set, op: op, world: w, member: m, fleet: f, commit: c, quota: quota.New(set.Deployment.Teams, w), log: log,
+		busy: map[string]bool{}, moving: map[uint64]*change{}, backoff: map[string]retry{}, waits: map[world.TaskRef]time.Time{},
+		forming: map[string]time.Time{}, held: map[string]reserve{}, owned: map[int]time.Time{}, gone: map[string]bool{},
+		fenced: map[int]time.Time{}, again: make(chan struct{}, 1),
+	}
+}
+
+// Run holds rounds after changes, and now and then without, until ctx ends.
+func (e *Engine) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	e.ctx = ctx
+	changed := e.world.Subscribe()
+	idle := time.NewTimer(tuning.PlaceIdle)
+	defer idle.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		case <-e.fleet.Changed():
+		case <-e.again:
+		case <-idle.C:
+		}
+		e.Round(time.Now(), &wg)
+		idle.Reset(tuning.PlaceIdle)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(tuning.PlaceGap):
+		}
+	}
+}
+
+func (e *Engine) poke() {
+	select {
+	case e.again <- struct{}{}:
+	default:
+	}
+}
+
+// change is one change of records on its way.
+type change struct {
+	what   string
+	item   store.Item
+	keys   []string
+	parts  []int
+	binds  []bind
+	fenced bool
+	done   func(ok bool)
+}
+
+// bind is a task on its way to a machine.
+type bind struct {
+	ref     world.TaskRef
+	machine string
+	part    int
+	team    string
+	need    world.Amount
+}
+
+// Round takes in what the workers told and places what can be placed.
+func (e *Engine) Round(now time.Time, wg *sync.WaitGroup) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.world.RLock()
+	r := e.newRound(now)
+	r.adopt()
+	r.settle()
+	r.machinesDue()
+	r.place()
+	r.flush()
+	for _, q := range e.quota.Review(now, r.stamps, r.use) {
+		c := &change{what: "grant", item: q.Item, parts: []int{q.Part}, done: func(bool) { q.Done() }}
+		r.out = append(r.out, c)
+	}
+	e.world.RUnlock()
+	for _, c := range r.out {
+		id := e.nextID
+		e.nextID++
+		e.moving[id] = c
+		for _, k := range c.keys {
+			e.busy[k] = true
+		}
+		wg.Go(func() { e.carry(id, c) })
+	}
+}
+
+// carry commits one change. If no answer comes, the parts concerned are fenced
+// first, so that the change is either in the view or can never be applied.
+func (e *Engine) carry(id uint64, c *change) {
+	ctx, cancel := context.WithTimeout(e.ctx, tuning.CommitTimeout)
+	rev, err := e.commit.Do(ctx, c.item)
+	cancel()
+	if err != nil && !errors.Is(err, store.ErrGuard) && !errors.Is(err, store.ErrUnavailable) {
+		e.log.Info("change without an answer", "what", c.what, "err", err)
+		for _, p := range c.parts {
+			e.member.Fence(e.ctx, p, false)
+		}
+	}
+	e.mu.Lock()
+	delete(e.moving, id)
+	for _, k := range c.keys {
+		delete(e.busy, k)
+	}
+	e.mu.Unlock()
+	if err != nil {
+		e.log.Debug("change not made", "what", c.what, "err", err)
+	} else {
+		e.log.Debug("change made", "what", c.what, "revision", rev)
+	}
+	for _, b := range c.binds {
+		if err == nil {
+			e.fleet.Kick(b.machine)
+		}
+	}
+	if c.done != nil {
+		c.done(err == nil)
+	}
+	e.poke()
+}
+
+// Gone tells that the cloud has confirmed a machine's deletion.
+func (e *Engine) Gone(names []string) {
+	e.mu.Lock()
+	for _, n := range names {
+		e.gone[n] = true
+	}
+	e.mu.Unlock()
+	e.poke()
+}
+
+// Returns lists machines to be deleted at the cloud.
+func (e *Engine) Returns() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.world.RLock()
+	defer e.world.RUnlock()
+	var out []string
+	add := func(name string) {
+		if _, _, ok := e.member.Owns(world.PartOf(name, e.world.Size)); ok && !e.gone[name] && len(out) < tuning.ReturnMax {
+			out = append(out, name)
+		}
+	}
+	for name, m := range e.world.Machines {
+		if m.Gone {
+			add(name)
+		}
+	}
+	for name := range e.world.Orphans {
+		add(name)
+	}
+	return out
+}
+
+// Demand is what could not be placed, for the pool.
+func (e *Engine) Demand() Demand {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.demand
+}
+
+// Backoff keeps a job's tasks from being placed for a growing while.
+func (e *Engine) fail(job string, now time.Time) {
+	b := e.backoff[job]
+	b.pause = min(max(2*b.pause, tuning.JobBackoff), tuning.JobBackoffMax)
+	b.until = now.Add(b.pause)
+	e.backoff[job] = b
+}
+
+// Graced is the slack a task needs to save.
+func graced(s *wire.Spec) float64 { return s.SaveS + tuning.StopMargin.Seconds() }
--- /dev/null
+++ b/internal/place/settle.go
@@ -0,0 +1,476 @@
+package place
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"sableusher/internal/fleet"
+	"sableusher/internal/store"
+	"sableusher/internal/tuning"
+	"sableusher/internal/wire"
+	"sableusher/internal/world"
+)
+
+// round is one look at the view; it collects the changes to make.
+type round struct {
+	*Engine
+	now    time.Time
+	tokens map[int]uint64
+	stamps map[int]uint64
+	edits  map[string]*edit
+	out    []*change
+	moveM  map[string]world.Amount // on their way, by machine
+	moveP  map[int]map[string]world.Amount
+	bound  int
+}
+
+// edit gathers the changes of one record of a job.
+type edit struct {
+	job   *world.Job
+	k     int
+	tasks map[int]world.Task
+	parts map[int]bool
+	binds []bind
+}
+
+func (e *Engine) newRound(now time.Time) *round {
+	r := &round{Engine: e, now: now, tokens: map[int]uint64{}, stamps: map[int]uint64{}, edits: map[string]*edit{},
+		moveM: map[string]world.Amount{}, moveP: map[int]map[string]world.Amount{}}
+	for p := range e.world.Size {
+		r.moveP[p] = map[string]world.Amount{}
+		if token, stamp, ok := e.member.Owns(p); ok {
+			r.tokens[p], r.stamps[p] = token, stamp
+			if _, had := e.owned[p]; !had {
+				e.owned[p] = now
+				// A new owner hears of its machines at once rather than at their next report.
+				for name, m := range e.world.Machines {
+					if m.Part == p {
+						e.fleet.Kick(name)
+					}
+				}
+			}
+		} else if _, entitled := e.member.Entitled(p); !entitled {
+			delete(e.owned, p)
+		}
+	}
+	for _, c := range e.moving {
+		for _, b := range c.binds {
+			r.move(b)
+		}
+	}
+	return r
+}
+
+func (r *round) move(b bind) {
+	r.moveM[b.machine] = r.moveM[b.machine].Plus(b.need, 1)
+	r.moveP[b.part][b.team] = r.moveP[b.part][b.team].Plus(b.need, 1)
+}
+
+// use is what a team's tasks of a part take, those on their way included.
+func (r *round) use(part int, team string) world.Amount {
+	return r.world.Usage[part][team].Plus(r.moveP[part][team], 1)
+}
+
+func recordKey(j *world.Job, k int) string {
+	if k == 0 {
+		return world.JobKey(j.Spec.ID)
+	}
+	return world.ChunkKey(j.Spec.ID, k)
+}
+
+// edit opens the record that holds a task; nil while a change of it is on its way.
+func (r *round) edit(j *world.Job, task int) *edit {
+	k := task / tuning.ChunkTasks
+	key := recordKey(j, k)
+	if r.busy[key] || k > 0 && r.busy[recordKey(j, 0)] && j.Spec.OneZone {
+		return nil
+	}
+	ed := r.edits[key]
+	if ed == nil {
+		ed = &edit{job: j, k: k, tasks: map[int]world.Task{}, parts: map[int]bool{}}
+		r.edits[key] = ed
+	}
+	return ed
+}
+
+// task is a task's state with this round's changes.
+func (r *round) task(j *world.Job, i int) world.Task {
+	if ed := r.edits[recordKey(j, i/tuning.ChunkTasks)]; ed != nil {
+		if t, ok := ed.tasks[i]; ok {
+			return t
+		}
+	}
+	return j.Task(i)
+}
+
+// release ends a binding in the record.
+func (r *round) release(b world.Binding, machine string, state int, why string) {
+	ed := r.edit(b.Job, b.Ref.Index)
+	if ed == nil {
+		return
+	}
+	if t := r.task(b.Job, b.Ref.Index); t.State != world.Bound || t.Attempt != b.Attempt || t.Machine != machine {
+		return
+	}
+	ed.tasks[b.Ref.Index] = world.Task{Index: b.Ref.Index, State: state, Attempt: b.Attempt}
+	ed.parts[world.PartOf(machine, r.world.Size)] = true
+	r.log.Debug("task leaves machine", "task", b.Ref, "attempt", b.Attempt, "machine", machine, "why", why)
+}
+
+// settle carries out what became of the tasks bound in this node's parts.
+func (r *round) settle() {
+	for name, m := range r.world.Machines {
+		token, mine := r.tokens[m.Part]
+		if !mine {
+			continue
+		}
+		gone := m.Gone && r.gone[name]
+		for _, b := range m.Bound {
+			if gone {
+				r.release(b, name, world.Idle, "machine deleted")
+				continue
+			}
+			r.settleTask(b, name, token)
+		}
+		if gone && len(m.Bound) == 0 && !r.busy[world.MachineKey(name)] {
+			r.out = append(r.out, &change{
+				what: "forget machine " + name, keys: []string{world.MachineKey(name)}, parts: []int{m.Part},
+				item: store.Item{
+					Guards: []wire.Guard{{Key: world.PartKey(m.Part), Stamp: r.stamps[m.Part]}, {Key: world.MachineKey(name), Stamp: m.Stamp}},
+					Ops:    []wire.Op{store.Drop(world.MachineKey(name))},
+				},
+			})
+		}
+	}
+	for name, set := range r.world.Orphans {
+		if _, mine := r.tokens[world.PartOf(name, r.world.Size)]; mine && r.gone[name] {
+			for _, b := range set {
+				r.release(b, name, world.Idle, "machine deleted")
+			}
+		}
+	}
+	for name := range r.gone {
+		if r.world.Machines[name] == nil && r.world.Orphans[name] == nil {
+			delete(r.gone, name)
+		}
+	}
+	r.finishJobs()
+}
+
+func (r *round) settleTask(b world.Binding, name string, token uint64) {
+	t := r.fleet.Fate(b, name, token)
+	spec := &b.Job.Spec
+	switch t.Fate {
+	case fleet.Lost:
+		r.release(b, name, world.Idle, "session ended")
+	case fleet.Absent:
+		if r.fleet.Stopping(b) {
+			r.release(b, name, world.Idle, "never started")
+		} else {
+			r.fleet.Kick(name)
+		}
+	case fleet.Alive:
+		if t.State != wire.TaskFetching {
+			r.fleet.NoteImage(name, spec.Image)
+		}
+	case fleet.Exited:
+		r.exited(b, name, t)
+		return
+	}
+	if t.Fate != fleet.Lost && spec.Kind == wire.KindGang && !r.fleet.Stopping(b) && r.broken(b) {
+		r.fleet.Stop(b, name, 0)
+	}
+}
+
+func (r *round) exited(b world.Binding, name string, t fleet.Task) {
+	spec := &b.Job.Spec
+	switch t.Cause {
+	case wire.CauseDone:
+		r.fleet.NoteImage(name, spec.Image)
+		if spec.Kind == wire.KindService {
+			r.fail(spec.ID, r.now)
+			r.release(b, name, world.Idle, "service ended")
+			return
+		}
+		if b.Job.Cancelled() {
+			r.release(b, name, world.Idle, "done after its cancellation")
+			return
+		}
+		if spec.Kind != wire.KindGang {
+			r.release(b, name, world.Done, "done")
+			return
+		}
+		// A gang completes together: one done task tells it of all.
+		for i := range spec.Tasks {
+			if o := r.task(b.Job, i); o.State == world.Bound && o.Attempt == b.Attempt {
+				r.release(world.Binding{Ref: world.TaskRef{Job: spec.ID, Index: i}, Job: b.Job, Attempt: o.Attempt, Session: o.Session}, o.Machine, world.Done, "done with its gang")
+			}
+		}
+		return
+	case wire.CauseError:
+		r.fleet.NoteError(name, spec.ID)
+		r.fail(spec.ID, r.now)
+	case wire.CauseNoRoom, wire.CauseBusy:
+		r.fleet.NoteRefused(name)
+	case wire.CauseUnknown:
+		r.fail(spec.ID, r.now)
+	}
+	if t.Cause != wire.CauseStopped || !t.Saved {
+		r.log.Debug("task ended without being done", "task", b.Ref, "cause", t.Cause, "machine", name)
+	}
+	r.release(b, name, world.Idle, t.Cause)
+}
+
+// broken tells whether a gang's attempt can no longer run whole: a task of it
+// has ended, or it was not bound whole in time.
+func (r *round) broken(b world.Binding) bool {
+	j := b.Job
+	whole := true
+	for i := range j.Spec.Tasks {
+		t := r.task(j, i)
+		if t.State == world.Done {
+			return false
+		}
+		if t.State == world.Bound && t.Attempt == b.Attempt {
+			continue
+		}
+		whole = false
+		if t.Attempt >= b.Attempt {
+			return true
+		}
+	}
+	if whole {
+		delete(r.forming, j.Spec.ID)
+		return false
+	}
+	since, ok := r.forming[j.Spec.ID]
+	if !ok {
+		r.forming[j.Spec.ID] = r.now
+		return false
+	}
+	return r.now.Sub(since) > tuning.GangForm
+}
+
+// final gives the ops that turn a job's records into its final one.
+func (r *round) final(j *world.Job, status string, done int) []wire.Op {
+	id := j.Spec.ID
+	ops := []wire.Op{
+		store.Set(world.FinalKey(id), world.FinalRecord{Status: status, Tasks: j.Spec.Tasks, Done: done, AtMs: r.now.UnixMilli()}),
+		store.Drop(world.JobKey(id)),
+	}
+	for k := 1; k < len(j.Chunks) && len(ops) < r.set.Deployment.State.TxnOps; k++ {
+		if j.Chunks[k].Stamp != 0 {
+			ops = append(ops, store.Drop(world.ChunkKey(id, k)))
+		}
+	}
+	return ops
+}
+
+// finishJobs ends jobs whose tasks are all done, or that are cancelled and have
+// left every machine, where no change of a single record could end them. Only
+// the leader does so; it also sweeps chunks left by long jobs.
+func (r *round) finishJobs() {
+	if _, _, leads := r.member.Owns(world.Leader); !leads {
+		return
+	}
+	for id, j := range r.world.Jobs {
+		key := world.JobKey(id)
+		if r.busy[key] {
+			continue
+		}
+		var ops []wire.Op
+		guard := wire.Guard{Key: key, Stamp: j.Stamp}
+		switch {
+		case !j.Known:
+			for k := range j.Chunks {
+				if j.Chunks[k].Stamp != 0 && len(ops) < r.set.Deployment.State.TxnOps {
+					ops = append(ops, store.Drop(world.ChunkKey(id, k)))
+				}
+			}
+			guard.Stamp = 0
+		case j.Done == j.Spec.Tasks:
+			ops = r.final(j, wire.JobDone, j.Done)
+		// No task can be bound after the cancellation, and the view holds all before it.
+		case j.Cancelled() && j.Bound == 0 && r.member.Seen(j.Stamp):
+			ops = r.final(j, wire.JobCancelled, j.Done)
+		}
+		if len(ops) > 0 {
+			r.out = append(r.out, &change{what: "finish " + id, keys: []string{key}, item: store.Item{Guards: []wire.Guard{guard}, Ops: ops}})
+		}
+	}
+}
+
+// flush turns the edits into changes.
+func (r *round) flush() {
+	byJob := map[string][]*edit{}
+	for _, ed := range r.edits {
+		if len(ed.tasks) > 0 {
+			byJob[ed.job.Spec.ID] = append(byJob[ed.job.Spec.ID], ed)
+		}
+	}
+	for id, eds := range byJob {
+		j := eds[0].job
+		if j.Spec.Kind == wire.KindGang && len(eds) > 1 {
+			r.emit(id, j, eds) // a gang's tasks are bound together
+			continue
+		}
+		for _, ed := range eds {
+			r.emit(id, j, []*edit{ed})
+		}
+	}
+}
+
+func (r *round) emit(id string, j *world.Job, eds []*edit) {
+	c := &change{what: "tasks of " + id}
+	parts, done, bound, touched := map[int]bool{}, j.Done, j.Bound, false
+	guards := map[string]uint64{}
+	for _, ed := range eds {
+		for i, t := range ed.tasks {
+			switch old := j.Task(i); old.State {
+			case world.Bound:
+				bound--
+			case world.Done:
+				done--
+			}
+			switch t.State {
+			case world.Bound:
+				bound++
+			case world.Done:
+				done++
+			}
+		}
+		maps.Copy(parts, ed.parts)
+		for _, g := range j.ChunkGuards(ed.k) {
+			guards[g.Key] = g.Stamp
+		}
+		key, raw := j.Encode(ed.k, ed.tasks)
+		c.item.Ops = append(c.item.Ops, wire.Op{Set: key, Value: raw})
+		c.keys = append(c.keys, key)
+		c.binds = append(c.binds, ed.binds...)
+		touched = touched || ed.k == 0
+	}
+	single := len(j.Chunks) <= 1 && world.Chunks(j.Spec.Tasks) == 1
+	switch {
+	case single && done == j.Spec.Tasks:
+		c.item.Ops = r.final(j, wire.JobDone, done)
+	case single && j.Cancelled() && bound == 0:
+		c.item.Ops = r.final(j, wire.JobCancelled, done)
+	case !single && j.Spec.OneZone && !touched && len(c.binds) > 0:
+		// Bindings of different records must not choose different zones at once.
+		key, raw := j.Encode(0, nil)
+		c.item.Ops = append(c.item.Ops, wire.Op{Set: key, Value: raw})
+		c.keys = append(c.keys, key)
+	}
+	for _, p := range slices.Sorted(maps.Keys(parts)) {
+		c.parts = append(c.parts, p)
+		guards[world.PartKey(p)] = r.stamps[p]
+	}
+	for _, k := range slices.Sorted(maps.Keys(guards)) {
+		c.item.Guards = append(c.item.Guards, wire.Guard{Key: k, Stamp: guards[k]})
+	}
+	c.item.Urgent = j.Spec.Priority == wire.PriorityProduction
+	r.out = append(r.out, c)
+}
+
+// adopt records machines that reported and whose records are missing or behind.
+func (r *round) adopt() {
+	for name, rep := range r.fleet.Adoptions() {
+		part := world.PartOf(name, r.world.Size)
+		key := world.MachineKey(name)
+		m := r.world.Machines[name]
+		if _, mine := r.stamps[part]; !mine || r.busy[key] || m != nil && m.Gone {
+			continue
+		}
+		rec := world.MachineRecord{AtMs: r.now.UnixMilli()}
+		var stamp uint64
+		if m != nil {
+			rec, stamp = m.MachineRecord, m.Stamp
+		} else {
+			r.log.Info("adopting a machine", "machine", name, "type", rep.Type, "zone", rep.Zone)
+		}
+		rec.Type, rec.Zone, rec.Spot, rec.Address, rec.Up = rep.Type, rep.Zone, rep.Spot, rep.Address, true
+		r.writeMachine("machine is up "+name, name, part, rec, stamp)
+	}
+}
+
+func (r *round) writeMachine(what, name string, part int, rec world.MachineRecord, stamp uint64) {
+	key := world.MachineKey(name)
+	r.out = append(r.out, &change{
+		what: what, keys: []string{key}, parts: []int{part},
+		item: store.Item{
+			Guards: []wire.Guard{{Key: world.PartKey(part), Stamp: r.stamps[part]}, {Key: key, Stamp: stamp}},
+			Ops:    []wire.Op{store.Set(key, rec)},
+		},
+	})
+}
+
+// machinesDue deletes machines that are silent, stuck, drained or failing.
+func (r *round) machinesDue() {
+	deadAfter := time.Duration(tuning.DeadAfter * float64(r.set.Report()))
+	var silent, up int
+	type due struct {
+		m    *world.Machine
+		why  string
+		dead bool
+	}
+	var list []due
+	for _, name := range slices.Sorted(maps.Keys(r.world.Machines)) {
+		m := r.world.Machines[name]
+		token, mine := r.tokens[m.Part]
+		if !mine || m.Gone || r.busy[world.MachineKey(name)] {
+			continue
+		}
+		s := r.fleet.Look(name, token)
+		last := r.owned[m.Part]
+		if s.Heard.After(last) {
+			last = s.Heard
+		}
+		if m.Up {
+			up++
+		}
+		age := r.now.Sub(time.UnixMilli(m.AtMs))
+		typ := r.world.Types[m.Type]
+		stuck := max(time.Duration(tuning.BootStuck*typ.BootS*float64(time.Second)), tuning.BootStuckMin)
+		switch {
+		case !m.Up && s.Heard.IsZero():
+			if age > stuck && typ.Name != "" {
+				list = append(list, due{m, "never came up", false})
+			}
+		case r.now.Sub(last) > deadAfter:
+			silent++
+			list = append(list, due{m, fmt.Sprintf("silent for %v", r.now.Sub(last).Round(time.Second)), true})
+		case len(m.Bound) == 0 && r.moveM[name] == (world.Amount{}) && (m.Drain || s.Errors >= tuning.MachineErrors):
+			list = append(list, due{m, "drained", false})
+		}
+		if s.Doubt && r.unwanted(m) && r.now.Sub(r.fenced[m.Part]) > tuning.FenceEvery {
+			// A start in doubt could still run a task that must not: raise the token.
+			r.fenced[m.Part] = r.now
+			go r.member.Fence(r.ctx, m.Part, true)
+		}
+	}
+	r.deaths = slices.DeleteFunc(r.deaths, func(t time.Time) bool { return r.now.Sub(t) > tuning.DeadWindow })
+	for _, d := range list {
+		if d.dead {
+			// Most machines silent at once means that we are cut off, not they.
+			if silent*2 > up && up > 2 || len(r.deaths) >= max(2, int(tuning.DeadCap*float64(up))) {
+				continue
+			}
+			r.deaths = append(r.deaths, r.now)
+		}
+		r.log.Info("deleting a machine", "machine", d.m.Name, "why", d.why, "tasks", len(d.m.Bound))
+		rec := d.m.MachineRecord
+		rec.Gone = true
+		r.writeMachine("delete machine "+d.m.Name, d.m.Name, d.m.Part, rec, d.m.Stamp)
+	}
+}
+
+func (r *round) unwanted(m *world.Machine) bool {
+	for _, b := range m.Bound {
+		if r.fleet.Stopping(b) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/pool/pool.go
@@ -0,0 +1,424 @@
+package pool
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"sableusher/internal/config"
+	"sableusher/internal/member"
+	"sableusher/internal/place"
+	"sableusher/internal/store"
+	"sableusher/internal/tuning"
+	"sableusher/internal/wire"
+	"sableusher/internal/world"
+)
+
+// Pool is this node's part in keeping the fleet: every node returns the
+// machines of its parts, the leader sizes the fleet.
+type Pool struct {
+	set    *config.Settings
+	op     *config.Operator
+	world  *world.World
+	member *member.Member
+	engine *place.Engine
+	cloud  *Cloud
+	commit *store.Committer
+	log    *slog.Logger
+
+	serial  int
+	refused map[kind]time.Time
+	idle    map[string]time.Time
+	unknown map[string]time.Time
+	listed  time.Time
+}
+
+// kind is what a rental asks for.
+type kind struct {
+	typ, zone string
+	spot      bool
+}
+
+// New makes a pool.
+func New(set *config.Settings, op *config.Operator, w *world.World, m *member.Member, e *place.Engine, c *Cloud, commit *store.Committer, log *slog.Logger) *Pool {
+	return &Pool{set: set, op: op, world: w, member: m, engine: e, cloud: c, commit: commit, log: log,
+		refused: map[kind]time.Time{}, idle: map[string]time.Time{}, unknown: map[string]time.Time{}}
+}
+
+// Run keeps the fleet until ctx ends.
+func (p *Pool) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return every(ctx, tuning.PoolTick, p.returns) })
+	g.Go(func() error { return every(ctx, tuning.PoolTick, p.size) })
+	g.Go(func() error { return every(ctx, tuning.PoolTick, p.catalog()) })
+	return g.Wait()
+}
+
+func every(ctx context.Context, d time.Duration, f func(context.Context)) error {
+	tick := time.NewTicker(d)
+	defer tick.Stop()
+	for {
+		f(ctx)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+	}
+}
+
+// catalog keeps the machine types in the state service, so that a node that
+// starts while the cloud is away knows them.
+func (p *Pool) catalog() func(context.Context) {
+	var last time.Time
+	return func(ctx context.Context) {
+		p.world.RLock()
+		known, stamp := len(p.world.Types) > 0, p.world.CatStamp
+		lead, leads := p.leads()
+		p.world.RUnlock()
+		if known && (!leads || time.Since(last) < tuning.CatalogEvery) || !leads && time.Since(last) < 5*time.Second {
+			return
+		}
+		last = time.Now()
+		cat, err := p.cloud.Catalog(ctx)
+		if err != nil || len(cat.Types) == 0 {
+			p.log.Info("catalog not read", "err", err)
+			return
+		}
+		guards := []wire.Guard{{Key: world.CatalogKey, Stamp: stamp}}
+		if leads {
+			guards = append(guards, lead)
+		}
+		if _, err := p.do(ctx, store.Item{Guards: guards, Ops: []wire.Op{store.Set(world.CatalogKey, cat)}}); err != nil {
+			p.log.Debug("catalog not written", "err", err)
+		}
+	}
+}
+
+func (p *Pool) do(ctx context.Context, it store.Item) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, tuning.CommitTimeout)
+	defer cancel()
+	return p.commit.Do(ctx, it)
+}
+
+// leads tells whether this node leads, with the guard of what a leader writes.
+// Callers hold the world's lock.
+func (p *Pool) leads() (wire.Guard, bool) {
+	_, stamp, ok := p.member.Owns(world.Leader)
+	return wire.Guard{Key: world.PartKey(world.Leader), Stamp: stamp}, ok
+}
+
+// returns deletes machines marked for it, of this node's parts.
+func (p *Pool) returns(ctx context.Context) {
+	names := p.engine.Returns()
+	if len(names) == 0 {
+		return
+	}
+	if err := p.cloud.Return(ctx, names); err != nil {
+		p.log.Info("machines not returned", "count", len(names), "err", err)
+		return
+	}
+	p.log.Info("machines returned", "machines", names)
+	p.engine.Gone(names)
+}
+
+// bin is a machine to be rented.
+type bin struct {
+	kind
+	free world.Amount
+}
+
+// size is one look of the leader at the fleet's size.
+func (p *Pool) size(ctx context.Context) {
+	if p.op.OwnedFleet {
+		return
+	}
+	p.world.RLock()
+	lead, leads := p.leads()
+	p.world.RUnlock()
+	if !leads {
+		clear(p.idle)
+		return
+	}
+	p.list(ctx, lead)
+	if p.resume(ctx, lead) {
+		return
+	}
+	d := p.engine.Demand()
+	if time.Since(d.At) > 4*tuning.PlaceIdle {
+		return
+	}
+	bins := p.bins(d)
+	count := map[kind]int{}
+	for _, b := range bins {
+		count[b.kind]++
+	}
+	for _, k := range slices.SortedFunc(maps.Keys(count), compareKinds) {
+		p.rent(ctx, lead, k, count[k])
+	}
+	if len(bins) == 0 {
+		p.shrink(ctx, lead, d)
+	}
+}
+
+func compareKinds(a, b kind) int {
+	return cmp.Or(cmp.Compare(a.typ, b.typ), cmp.Compare(a.zone, b.zone), cmp.Compare(fmt.Sprint(a.spot), fmt.Sprint(b.spot)))
+}
+
+// bins packs what found no room into machines to be rented, and adds the step
+// and the minimum.
+func (p *Pool) bins(d place.Demand) []bin {
+	p.world.RLock()
+	defer p.world.RUnlock()
+	held := map[string]int{}
+	total := 0
+	for _, m := range p.world.Machines {
+		if !m.Gone {
+			held[m.Zone]++
+			total++
+		}
+	}
+	now := time.Now()
+	var out []bin
+	open := func(s *wire.Spec, zone string, also func(string) bool) *bin {
+		k, ok := p.choose(s, zone, held, now, also)
+		if !ok {
+			return nil
+		}
+		t := p.world.Types[k.typ]
+		out = append(out, bin{k, world.Capacity(&t)})
+		held[k.zone]++
+		return &out[len(out)-1]
+	}
+	for _, g := range d.Groups {
+		s, need := g.Spec, world.Need(g.Spec)
+		zone := s.Zone
+		perZone := map[string]int{}
+		for range g.Count {
+			var b *bin
+			spreadOK := func(z string) bool { return !s.Spread || perZone[z] < (g.Count+1)/2 }
+			for i := range out {
+				if o := &out[i]; need.Within(o.free) && (zone == "" || o.zone == zone) && (s.Spot || !o.spot) &&
+					(len(s.Types) == 0 || slices.Contains(s.Types, o.typ)) && spreadOK(o.zone) {
+					b = o
+					break
+				}
+			}
+			if b == nil {
+				b = open(s, zone, spreadOK)
+			}
+			if b == nil {
+				break
+			}
+			b.free = b.free.Plus(need, -1)
+			perZone[b.zone]++
+			if s.OneZone {
+				zone = b.zone
+			}
+		}
+	}
+	spare := p.op.PoolStep - len(d.Idle)
+	for range max(spare, p.op.PoolMin-total-len(out)) {
+		if open(&wire.Spec{}, "", func(string) bool { return true }) == nil {
+			break
+		}
+	}
+	return out
+}
+
+// choose picks the cheapest kind for a task, in the allowed zone with the
+// fewest machines, leaving out what was refused lately.
+func (p *Pool) choose(s *wire.Spec, zone string, held map[string]int, now time.Time, also func(string) bool) (kind, bool) {
+	need := world.Need(s)
+	var best kind
+	bestPrice, found := 0.0, false
+	for _, name := range slices.Sorted(maps.Keys(p.world.Types)) {
+		t := p.world.Types[name]
+		if len(s.Types) > 0 && !slices.Contains(s.Types, name) || !need.Within(world.Capacity(&t)) {
+			continue
+		}
+		for _, z := range t.Zones {
+			if zone != "" && z != zone || !also(z) {
+				continue
+			}
+			for _, spot := range []bool{true, false} {
+				k := kind{name, z, spot}
+				if spot && !s.Spot || now.Before(p.refused[k]) {
+					continue
+				}
+				price := t.Price
+				if spot {
+					price = t.SpotPrice
+				}
+				if !found || price < bestPrice || price == bestPrice && held[z] < held[best.zone] {
+					best, bestPrice, found = k, price, true
+				}
+			}
+		}
+	}
+	return best, found
+}
+
+// rent writes a request's name, asks the cloud, and records the machines.
+func (p *Pool) rent(ctx context.Context, lead wire.Guard, k kind, count int) {
+	p.serial++
+	name := fmt.Sprintf("r-%s-%x-%d", p.member.Self, p.member.Inc, p.serial)
+	rec := world.RentalRecord{Type: k.typ, Zone: k.zone, Spot: k.spot, Count: min(count, tuning.RentMax), AtMs: time.Now().UnixMilli()}
+	key := world.RentalKey(name)
+	rev, err := p.do(ctx, store.Item{
+		Guards: []wire.Guard{{Key: key, Stamp: 0}, lead}, Ops: []wire.Op{store.Set(key, rec)},
+	})
+	if err != nil {
+		p.log.Info("rental not recorded", "err", err)
+		return
+	}
+	p.ask(ctx, name, rec, rev)
+}
+
+// resume asks again for rentals whose answer is not known.
+func (p *Pool) resume(ctx context.Context, lead wire.Guard) bool {
+	p.world.RLock()
+	open := maps.Clone(p.world.Rentals)
+	p.world.RUnlock()
+	for _, name := range slices.Sorted(maps.Keys(open)) {
+		p.ask(ctx, name, open[name].RentalRecord, open[name].Stamp)
+	}
+	return len(open) > 0
+}
+
+func (p *Pool) ask(ctx context.Context, name string, rec world.RentalRecord, stamp uint64) {
+	k := kind{rec.Type, rec.Zone, rec.Spot}
+	names, err := p.cloud.Rent(ctx, wire.Rental{Name: name, Type: rec.Type, Zone: rec.Zone, Spot: rec.Spot, Count: rec.Count})
+	switch {
+	case errors.Is(err, ErrNoCapacity) || errors.Is(err, ErrMalformed):
+		p.log.Info("rental refused", "type", k.typ, "zone", k.zone, "spot", k.spot, "count", rec.Count, "err", err)
+		p.refused[k] = time.Now().Add(tuning.RefusedHold)
+	case err != nil:
+		p.log.Info("rental not answered", "rental", name, "err", err)
+		return
+	default:
+		p.log.Info("machines rented", "type", k.typ, "zone", k.zone, "spot", k.spot, "asked", rec.Count, "got", names)
+		if len(names) < rec.Count {
+			p.refused[k] = time.Now().Add(tuning.RefusedHold)
+		}
+	}
+	for _, m := range names {
+		key := world.MachineKey(m)
+		it := store.Item{Guards: []wire.Guard{{Key: key, Stamp: 0}}, Ops: []wire.Op{
+			store.Set(key, world.MachineRecord{Type: rec.Type, Zone: rec.Zone, Spot: rec.Spot, AtMs: rec.AtMs})}}
+		if _, err := p.do(ctx, it); err != nil && !errors.Is(err, store.ErrGuard) {
+			return // asked again later: the same name gives the same machines
+		}
+	}
+	key := world.RentalKey(name)
+	if _, err := p.do(ctx, store.Item{Guards: []wire.Guard{{Key: key, Stamp: stamp}}, Ops: []wire.Op{store.Drop(key)}}); err != nil {
+		p.log.Debug("rental record stays", "rental", name, "err", err)
+	}
+}
+
+// shrink marks machines that stood idle for the hold, beyond step and minimum.
+func (p *Pool) shrink(ctx context.Context, lead wire.Guard, d place.Demand) {
+	now := time.Now()
+	idle := map[string]bool{}
+	for _, n := range d.Idle {
+		idle[n] = true
+		if _, ok := p.idle[n]; !ok {
+			p.idle[n] = now
+		}
+	}
+	for n := range p.idle {
+		if !idle[n] {
+			delete(p.idle, n)
+		}
+	}
+	names := slices.SortedFunc(maps.Keys(p.idle), func(a, b string) int {
+		return cmp.Or(p.idle[a].Compare(p.idle[b]), cmp.Compare(a, b))
+	})
+	p.world.RLock()
+	total := 0
+	for _, m := range p.world.Machines {
+		if !m.Gone && !m.Drain {
+			total++
+		}
+	}
+	var items []store.Item
+	left := len(names) - p.op.PoolStep
+	for _, n := range names {
+		m := p.world.Machines[n]
+		if left <= 0 || total <= p.op.PoolMin {
+			break
+		}
+		if m == nil || !m.Up || now.Sub(p.idle[n]) < config.Seconds(p.op.PoolHoldS) {
+			continue
+		}
+		rec := m.MachineRecord
+		rec.Drain = true
+		items = append(items, store.Item{
+			Guards: []wire.Guard{lead, {Key: world.MachineKey(n), Stamp: m.Stamp}},
+			Ops:    []wire.Op{store.Set(world.MachineKey(n), rec)},
+		})
+		left--
+		total--
+	}
+	p.world.RUnlock()
+	for _, it := range items {
+		if _, err := p.do(ctx, it); err != nil {
+			p.log.Debug("machine not drained", "err", err)
+		}
+	}
+}
+
+// list compares the cloud's list with the records: machines that stopped are
+// deleted, machines that nobody knows are recorded, to be used or returned.
+func (p *Pool) list(ctx context.Context, lead wire.Guard) {
+	if time.Since(p.listed) < tuning.ListEvery {
+		return
+	}
+	p.listed = time.Now()
+	all, err := p.cloud.List(ctx)
+	if err != nil {
+		p.log.Info("machines not listed", "err", err)
+		return
+	}
+	now := time.Now()
+	seen := map[string]bool{}
+	var items []store.Item
+	p.world.RLock()
+	for _, l := range all {
+		key := world.MachineKey(l.ID)
+		m := p.world.Machines[l.ID]
+		switch {
+		case m != nil && l.State == wire.MachineFailed && !m.Gone:
+			rec := m.MachineRecord
+			rec.Gone = true
+			p.log.Info("machine failed", "machine", l.ID)
+			items = append(items, store.Item{Guards: []wire.Guard{lead, {Key: key, Stamp: m.Stamp}}, Ops: []wire.Op{store.Set(key, rec)}})
+		case m == nil:
+			seen[l.ID] = true
+			if _, ok := p.unknown[l.ID]; !ok {
+				p.unknown[l.ID] = now
+			}
+			// Lists lag: only one that stays unknown is a stray.
+			if now.Sub(p.unknown[l.ID]) > config.Seconds(2*p.set.Deployment.Cloud.ListLagS)+tuning.ListEvery {
+				p.log.Info("recording an unknown machine", "machine", l.ID)
+				rec := world.MachineRecord{Type: l.Type, Zone: l.Zone, Spot: l.Spot, Address: l.Address,
+					AtMs: now.Add(-config.Seconds(l.AgeS)).UnixMilli(), Gone: l.State == wire.MachineFailed}
+				items = append(items, store.Item{Guards: []wire.Guard{lead, {Key: key, Stamp: 0}}, Ops: []wire.Op{store.Set(key, rec)}})
+			}
+		}
+	}
+	p.world.RUnlock()
+	maps.DeleteFunc(p.unknown, func(n string, _ time.Time) bool { return !seen[n] })
+	for _, it := range items {
+		if _, err := p.do(ctx, it); err != nil {
+			p.log.Debug("machine not recorded", "err", err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/quota/quota.go
@@ -0,0 +1,191 @@
+// Package quota keeps teams within their limits: durable grants by part whose
+// sum stays at or below the limit, raised and released on demand.
+package quota
+
+import (
+	"strconv"
+	"time"
+
+	"sableusher/internal/config"
+	"sableusher/internal/store"
+	"sableusher/internal/tuning"
+	"sableusher/internal/wire"
+	"sableusher/internal/world"
+)
+
+// Keeper decides on grants. Its methods are called by one routine, which holds
+// the world's lock; Finish may come at any time between them.
+type Keeper struct {
+	teams map[string]config.Team
+	world *world.World
+
+	wants    map[slot]world.Amount
+	lowered  map[slot]world.Amount // grants being lowered: count as lower already
+	busy     map[string]bool
+	surplus  map[slot]time.Time
+	finished chan finish
+}
+
+type slot struct {
+	part int
+	team string
+}
+
+type finish struct {
+	team string
+	slot slot
+}
+
+// New makes a keeper of the teams' limits.
+func New(teams []config.Team, w *world.World) *Keeper {
+	k := &Keeper{teams: map[string]config.Team{}, world: w, wants: map[slot]world.Amount{}, lowered: map[slot]world.Amount{},
+		busy: map[string]bool{}, surplus: map[slot]time.Time{}, finished: make(chan finish, 1024)}
+	for _, t := range teams {
+		k.teams[t.Name] = t
+	}
+	return k
+}
+
+// Limit gives a team's limit; a dimension without one is unbounded.
+func (k *Keeper) Limit(team string) (world.Amount, bool) {
+	t, ok := k.teams[team]
+	if !ok || t.CPUsMax == 0 && t.GPUsMax == 0 {
+		return world.Amount{}, false
+	}
+	return limits(t.CPUsMax, t.GPUsMax), true
+}
+
+// Guarantee gives what a team need not wait for others within.
+func (k *Keeper) Guarantee(team string) (world.Amount, bool) {
+	t, ok := k.teams[team]
+	if !ok || t.CPUs == 0 && t.GPUs == 0 {
+		return world.Amount{}, false
+	}
+	return limits(t.CPUs, t.GPUs), true
+}
+
+func limits(cpus, gpus float64) world.Amount {
+	l := world.Amount{CPUs: cpus, GPUs: gpus, Mem: tuning.MaxAmount}
+	if cpus == 0 {
+		l.CPUs = tuning.MaxAmount
+	}
+	if gpus == 0 {
+		l.GPUs = tuning.MaxAmount
+	}
+	return l
+}
+
+func bare(a world.Amount) world.Amount { return world.Amount{CPUs: a.CPUs, GPUs: a.GPUs} }
+
+// Allowed tells whether a part may let a team use so much. Without a
+// sufficient grant the wish is kept for the next Review.
+func (k *Keeper) Allowed(part int, team string, use world.Amount) bool {
+	if _, limited := k.Limit(team); !limited {
+		return true
+	}
+	s := slot{part, team}
+	use = bare(use)
+	grant := k.world.Quotas[team].Grants[strconv.Itoa(part)]
+	if low, ok := k.lowered[s]; ok {
+		grant = low
+	}
+	if use.Within(grant) {
+		return true
+	}
+	w := k.wants[s]
+	k.wants[s] = world.Amount{CPUs: max(w.CPUs, use.CPUs), GPUs: max(w.GPUs, use.GPUs)}
+	return false
+}
+
+// Change is a change of a team's grants to be committed. Done is to be called
+// with the outcome settled: never while it may still be applied.
+type Change struct {
+	Item store.Item
+	Part int
+	Done func()
+}
+
+// Review gives the changes of grants due now. owned gives the guard of each
+// part of this node, use what a team's tasks of a part take, those on their
+// way included.
+func (k *Keeper) Review(now time.Time, owned map[int]uint64, use func(part int, team string) world.Amount) []Change {
+	for {
+		select {
+		case f := <-k.finished:
+			delete(k.busy, f.team)
+			delete(k.lowered, f.slot)
+			continue
+		default:
+		}
+		break
+	}
+	var out []Change
+	for s, want := range k.wants {
+		delete(k.wants, s)
+		limit, _ := k.Limit(s.team)
+		stamp, mine := owned[s.part]
+		if !mine || k.busy[s.team] {
+			continue
+		}
+		q := k.world.Quotas[s.team]
+		var others world.Amount
+		for p, g := range q.Grants {
+			if p != strconv.Itoa(s.part) {
+				others = others.Plus(g, 1)
+			}
+		}
+		grant := q.Grants[strconv.Itoa(s.part)]
+		next := world.Amount{
+			CPUs: max(grant.CPUs, min(want.CPUs, limit.CPUs-others.CPUs)),
+			GPUs: max(grant.GPUs, min(want.GPUs, limit.GPUs-others.GPUs)),
+		}
+		if next != grant {
+			out = append(out, k.change(s, q, stamp, next))
+		}
+		delete(k.surplus, s)
+	}
+	for team, q := range k.world.Quotas {
+		for p, g := range q.Grants {
+			part, _ := strconv.Atoi(p)
+			s := slot{part, team}
+			stamp, mine := owned[part]
+			used := bare(use(part, team))
+			if !mine || k.busy[team] || g.Within(used) {
+				delete(k.surplus, s)
+				continue
+			}
+			since, ok := k.surplus[s]
+			if !ok {
+				k.surplus[s] = now
+			} else if now.Sub(since) > tuning.GrantIdle {
+				delete(k.surplus, s)
+				c := k.change(s, q, stamp, used)
+				k.lowered[s] = used
+				out = append(out, c)
+			}
+		}
+	}
+	return out
+}
+
+func (k *Keeper) change(s slot, q world.Quota, stamp uint64, next world.Amount) Change {
+	grants := map[string]world.Amount{}
+	for p, g := range q.Grants {
+		grants[p] = g
+	}
+	if next == (world.Amount{}) {
+		delete(grants, strconv.Itoa(s.part))
+	} else {
+		grants[strconv.Itoa(s.part)] = next
+	}
+	k.busy[s.team] = true
+	key := world.QuotaKey(s.team)
+	return Change{
+		Item: store.Item{
+			Guards: []wire.Guard{{Key: key, Stamp: q.Stamp}, {Key: world.PartKey(s.part), Stamp: stamp}},
+			Ops:    []wire.Op{store.Set(key, world.QuotaRecord{Grants: grants})},
+		},
+		Part: s.part,
+		Done: func() { k.finished <- finish{s.team, s} },
+	}
+}
--- /dev/null
+++ b/internal/store/cache.go
@@ -0,0 +1,287 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"sableusher/internal/tuning"
+	"sableusher/internal/wire"
+)
+
+// Sink receives the cached keys' changes in order, in groups that are seen as one.
+type Sink interface {
+	Begin()
+	Put(key string, value wire.Raw, stamp uint64)
+	Drop(key string)
+	Flush()
+}
+
+// Cache follows all keys under a prefix by list and watch.
+type Cache struct {
+	client *Client
+	prefix string
+	sink   Sink
+	log    *slog.Logger
+	pace   *rate.Limiter
+	space  *rate.Limiter
+
+	mu      sync.Mutex
+	ready   bool
+	rev     uint64
+	fresh   time.Time
+	stamps  map[string]uint64
+	dropped map[string]uint64 // our own drops that the watch has not shown yet
+
+	bmu  sync.Mutex
+	next *barrier
+	wake chan struct{}
+}
+
+type barrier struct {
+	done chan struct{}
+	err  error
+}
+
+// NewCache makes a cache of the keys under prefix.
+func NewCache(c *Client, prefix string, sink Sink, log *slog.Logger) *Cache {
+	return &Cache{
+		client: c, prefix: prefix, sink: sink, log: log,
+		pace:   rate.NewLimiter(rate.Limit(c.limits.RPS*tuning.WatchRateShare), 2),
+		space:  rate.NewLimiter(rate.Limit(c.limits.RPS*tuning.SyncRateShare), 2),
+		stamps: map[string]uint64{}, dropped: map[string]uint64{},
+		next: &barrier{done: make(chan struct{})}, wake: make(chan struct{}, 1),
+	}
+}
+
+// Run follows the keys until ctx ends.
+func (c *Cache) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { c.barriers(ctx) })
+	for ctx.Err() == nil {
+		if err := c.list(ctx); err != nil {
+			c.log.Info("state listing failed", "err", err)
+			sleep(ctx, tuning.StateRetry)
+			continue
+		}
+		for ctx.Err() == nil {
+			if c.pace.Wait(ctx) != nil {
+				break
+			}
+			c.mu.Lock()
+			after := c.rev
+			c.mu.Unlock()
+			err := c.poll(ctx, after, tuning.WatchHold, false)
+			if errors.Is(err, ErrTooOld) {
+				c.log.Info("watch fell behind, listing again")
+				break
+			}
+			if err != nil && ctx.Err() == nil {
+				c.log.Debug("watch failed", "err", err)
+				sleep(ctx, tuning.StateRetry)
+			}
+		}
+	}
+	return ctx.Err()
+}
+
+func (c *Cache) poll(ctx context.Context, after uint64, hold time.Duration, urgent bool) error {
+	start := time.Now()
+	news, err := c.client.Watch(ctx, c.prefix, after, hold, urgent)
+	if err != nil {
+		return err
+	}
+	c.apply(after, news, start)
+	return nil
+}
+
+// apply takes in all changes after a revision that the cache has already
+// reached. Answers overlap, so each key's own stamp decides.
+func (c *Cache) apply(after uint64, news wire.News, asked time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if after > c.rev {
+		return
+	}
+	c.sink.Begin()
+	defer c.sink.Flush()
+	for _, e := range news.Events {
+		if e.Set != "" {
+			c.put(e.Set, e.Value, e.Stamp)
+		} else {
+			c.drop(e.Drop, e.Stamp)
+		}
+	}
+	if news.Revision > c.rev {
+		c.rev = news.Revision
+		for k, s := range c.dropped {
+			if s <= c.rev {
+				delete(c.dropped, k)
+			}
+		}
+	}
+	c.ready = true
+	if asked.After(c.fresh) {
+		c.fresh = asked
+	}
+}
+
+func (c *Cache) put(key string, v wire.Raw, stamp uint64) {
+	if stamp <= c.stamps[key] || stamp <= c.dropped[key] {
+		return
+	}
+	c.stamps[key] = stamp
+	c.sink.Put(key, v, stamp)
+}
+
+func (c *Cache) drop(key string, stamp uint64) {
+	if s, ok := c.stamps[key]; !ok || stamp <= s {
+		return
+	}
+	delete(c.stamps, key)
+	c.sink.Drop(key)
+}
+
+// Local takes in a transaction of our own that was applied at a revision,
+// ahead of the watch.
+func (c *Cache) Local(ops []wire.Op, rev uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sink.Begin()
+	defer c.sink.Flush()
+	for _, o := range ops {
+		k := o.Key()
+		if len(k) < len(c.prefix) || k[:len(c.prefix)] != c.prefix {
+			continue
+		}
+		if o.Set != "" {
+			c.put(k, o.Value, rev)
+			continue
+		}
+		c.drop(k, rev)
+		if rev > c.rev {
+			c.dropped[k] = rev
+		}
+	}
+}
+
+func (c *Cache) list(ctx context.Context) error {
+	found := map[string]bool{}
+	after, first := "", uint64(0)
+	start := time.Now()
+	for page := 0; ; page++ {
+		rows, err := c.client.List(ctx, c.prefix, after)
+		if err != nil {
+			return err
+		}
+		if page == 0 {
+			first = rows.Revision
+		}
+		c.mu.Lock()
+		c.sink.Begin()
+		for _, r := range rows.Items {
+			found[r.Key] = true
+			c.put(r.Key, r.Value, r.Stamp)
+			after = r.Key
+		}
+		c.sink.Flush()
+		c.mu.Unlock()
+		if !rows.More || len(rows.Items) == 0 {
+			break
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sink.Begin()
+	defer c.sink.Flush()
+	for k, s := range c.stamps {
+		if !found[k] && s <= first {
+			delete(c.stamps, k)
+			c.sink.Drop(k)
+		}
+	}
+	// Changes after the first page are seen by the watch from there on.
+	if c.rev < first {
+		c.rev = first
+	}
+	c.log.Info("state listed", "keys", len(found), "revision", first, "took", time.Since(start))
+	return nil
+}
+
+// Sync is the read barrier: it returns once the cache holds all that was
+// applied before the call. All callers that wait share one request.
+func (c *Cache) Sync(ctx context.Context) error {
+	c.bmu.Lock()
+	b := c.next
+	c.bmu.Unlock()
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+	select {
+	case <-b.done:
+		return b.err
+	case <-ctx.Done():
+		return ErrUnavailable
+	}
+}
+
+func (c *Cache) barriers(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.wake:
+		}
+		if c.space.Wait(ctx) != nil {
+			return
+		}
+		c.bmu.Lock()
+		b := c.next
+		c.next = &barrier{done: make(chan struct{})}
+		c.bmu.Unlock()
+		wg.Go(func() {
+			c.mu.Lock()
+			after, ready := c.rev, c.ready
+			c.mu.Unlock()
+			if ready {
+				b.err = c.poll(ctx, after, 0, true)
+			} else {
+				b.err = ErrUnavailable
+			}
+			close(b.done)
+		})
+	}
+}
+
+// Fresh is the time as of which the cache is known to be complete; zero before
+// the first answer.
+func (c *Cache) Fresh() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ready {
+		return time.Time{}
+	}
+	return c.fresh
+}
+
+// Revision is the revision up to which every change is held.
+func (c *Cache) Revision() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.rev
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/internal/store/client.go
@@ -0,0 +1,241 @@
+// Package store is the client of the state service: paced requests, group
+// commit and a watched cache.
+package store
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"sableusher/internal/tuning"
+	"sableusher/internal/wire"
+)
+
+var (
+	// ErrUnavailable: the request was certainly not executed.
+	ErrUnavailable = errors.New("state service unavailable")
+	// ErrUnknown: no answer; the request may have been executed, or may be later.
+	ErrUnknown = errors.New("outcome unknown")
+	// ErrGuard: a condition failed; nothing was changed.
+	ErrGuard = errors.New("guard failed")
+	// ErrNotFound: no such key or hold.
+	ErrNotFound = errors.New("not found")
+	// ErrTooOld: the watch's starting point is no longer kept.
+	ErrTooOld = errors.New("revision too old")
+	// ErrRefused: the request is malformed or names an ended hold.
+	ErrRefused = errors.New("refused")
+)
+
+// Limits are this node's part of the service's budget and its sizes.
+type Limits struct {
+	RPS      float64
+	WriteRPS float64
+	ValueKB  float64
+	TxnOps   int
+}
+
+// Client speaks to the state service within a budget.
+type Client struct {
+	base   string
+	http   *http.Client
+	limits Limits
+	reqs   *rate.Limiter
+	urgent *rate.Limiter
+	writes *rate.Limiter
+}
+
+// NewClient makes a client of the service at addr.
+func NewClient(addr string, l Limits, rt http.RoundTripper) *Client {
+	if rt == nil {
+		rt = &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: tuning.StateTimeout}).DialContext,
+			MaxIdleConnsPerHost: tuning.IdleConns,
+			IdleConnTimeout:     tuning.IdleTimeout,
+			DisableCompression:  true,
+		}
+	}
+	burst := max(int(l.WriteRPS), l.TxnOps)
+	return &Client{
+		base: "http://" + addr, http: &http.Client{Transport: rt}, limits: l,
+		reqs:   rate.NewLimiter(rate.Limit(l.RPS*(1-tuning.UrgentShare)), max(int(l.RPS/2), 4)),
+		urgent: rate.NewLimiter(rate.Limit(l.RPS*tuning.UrgentShare), max(int(l.RPS*tuning.UrgentShare), 4)),
+		writes: rate.NewLimiter(rate.Limit(l.WriteRPS), burst),
+	}
+}
+
+func (c *Client) pace(ctx context.Context, urgent bool) error {
+	if urgent && c.urgent.Allow() {
+		return nil
+	}
+	if err := c.reqs.Wait(ctx); err != nil {
+		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	return nil
+}
+
+// call sends one request and decodes a 200 into out; other statuses are
+// returned with their body.
+func (c *Client) call(ctx context.Context, method, path string, in, out any, timeout time.Duration) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var body io.Reader
+	if in != nil {
+		b, err := wire.Encode(in)
+		if err != nil {
+			return 0, nil, err
+		}
+		body = bytes.NewReader(b)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return 0, nil, fmt.Errorf("state request: %w", err)
+	}
+	req.Header.Set("Content-Type", wire.ContentType)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		var op *net.OpError
+		if errors.As(err, &op) && op.Op == "dial" {
+			return 0, nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+		}
+		return 0, nil, fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	defer resp.Body.Close()
+	b, err := wire.ReadBody(resp.Body, tuning.StateBody)
+	if err != nil {
+		return 0, nil, fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	switch resp.StatusCode {
+	case http.StatusOK:
+		if out != nil {
+			if err := wire.Decode(b, out); err != nil {
+				return 0, nil, fmt.Errorf("%w: %w", ErrUnknown, err)
+			}
+		}
+		return http.StatusOK, b, nil
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return resp.StatusCode, b, ErrUnavailable
+	}
+	return resp.StatusCode, b, nil
+}
+
+// Get reads one key. A missing key gives ErrNotFound.
+func (c *Client) Get(ctx context.Context, key string) (wire.Row, error) {
+	if err := c.pace(ctx, false); err != nil {
+		return wire.Row{}, err
+	}
+	var row wire.Row
+	status, _, err := c.call(ctx, http.MethodGet, "/store/"+key, nil, &row, tuning.StateTimeout)
+	switch {
+	case err != nil:
+		return row, err
+	case status == http.StatusNotFound:
+		return row, ErrNotFound
+	case status != http.StatusOK:
+		return row, fmt.Errorf("%w: get: status %d", ErrRefused, status)
+	}
+	return row, nil
+}
+
+// List reads one page of the keys under prefix that come after a key.
+func (c *Client) List(ctx context.Context, prefix, after string) (wire.Rows, error) {
+	if err := c.pace(ctx, false); err != nil {
+		return wire.Rows{}, err
+	}
+	q := url.Values{"under": {prefix}, "page": {fmt.Sprint(tuning.PageRows)}}
+	if after != "" {
+		q.Set("after", after)
+	}
+	var rows wire.Rows
+	status, _, err := c.call(ctx, http.MethodGet, "/store?"+q.Encode(), nil, &rows, 2*tuning.StateTimeout)
+	if err == nil && status != http.StatusOK {
+		err = fmt.Errorf("%w: list: status %d", ErrRefused, status)
+	}
+	return rows, err
+}
+
+// Watch waits for changes under prefix after a revision.
+func (c *Client) Watch(ctx context.Context, prefix string, after uint64, hold time.Duration, urgent bool) (wire.News, error) {
+	if err := c.pace(ctx, urgent); err != nil {
+		return wire.News{}, err
+	}
+	q := url.Values{"under": {prefix}, "after": {fmt.Sprint(after)}, "hold_ms": {fmt.Sprint(hold.Milliseconds())}}
+	var news wire.News
+	status, _, err := c.call(ctx, http.MethodGet, "/watch?"+q.Encode(), nil, &news, hold+tuning.StateTimeout)
+	switch {
+	case err != nil:
+		return news, err
+	case status == http.StatusGone:
+		return news, ErrTooOld
+	case status != http.StatusOK:
+		return news, fmt.Errorf("%w: watch: status %d", ErrRefused, status)
+	}
+	return news, nil
+}
+
+// Txn runs one transaction. On ErrGuard the result names the failed keys.
+func (c *Client) Txn(ctx context.Context, t wire.Txn, urgent bool) (wire.TxnResult, error) {
+	if err := c.pace(ctx, urgent); err != nil {
+		return wire.TxnResult{}, err
+	}
+	if err := c.writes.WaitN(ctx, len(t.Apply)); err != nil {
+		return wire.TxnResult{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	var res wire.TxnResult
+	status, body, err := c.call(ctx, http.MethodPost, "/multi", t, &res, tuning.StateTimeout)
+	switch {
+	case err != nil:
+		return res, err
+	case status == http.StatusConflict:
+		if err := wire.Decode(body, &res); err != nil {
+			return res, fmt.Errorf("%w: %w", ErrUnknown, err)
+		}
+		return res, ErrGuard
+	case status != http.StatusOK:
+		return res, fmt.Errorf("%w: transaction: status %d", ErrRefused, status)
+	}
+	return res, nil
+}
+
+// OpenHold opens a lease of the service.
+func (c *Client) OpenHold(ctx context.Context, ttl time.Duration) (uint64, error) {
+	if err := c.pace(ctx, true); err != nil {
+		return 0, err
+	}
+	var res wire.HoldResult
+	status, _, err := c.call(ctx, http.MethodPost, "/holds", wire.HoldRequest{TTLMs: ttl.Milliseconds()}, &res, tuning.StateTimeout)
+	if err == nil && status != http.StatusOK {
+		err = fmt.Errorf("%w: hold: status %d", ErrRefused, status)
+	}
+	return res.Hold, err
+}
+
+// TouchHold renews a lease; ErrNotFound if it has ended.
+func (c *Client) TouchHold(ctx context.Context, hold uint64) error {
+	if err := c.pace(ctx, true); err != nil {
+		return err
+	}
+	status, _, err := c.call(ctx, http.MethodPost, fmt.Sprintf("/holds/%d/touch", hold), nil, nil, tuning.StateTimeout)
+	switch {
+	case err != nil:
+		return err
+	case status == http.StatusNotFound:
+		return ErrNotFound
+	case status != http.StatusOK:
+		return fmt.Errorf("%w: touch: status %d", ErrRefused, status)
+	}
+	return nil
+}
+
+// CloseHold ends a lease at once.
+func (c *Client) CloseHold(ctx context.Context, hold uint64) error {
+	_, _, err := c.call(ctx, http.MethodDelete, fmt.Sprintf("/holds/%d", hold), nil, nil, tuning.StateTimeout)
+	return err
+}
--- /dev/null
+++ b/internal/tuning/tuning.go
@@ -0,0 +1,211 @@
+// Package tuning holds every constant of the service, each with its unit and
+// the reason for its value. Other packages define no figures of their own.
+package tuning
+
+import "time"
+
+// State service: budget and transactions.
+const (
+	// StateShare is the fraction of the state service's limits that all nodes
+	// together plan to use; the rest covers bursts and clock drift.
+	StateShare = 0.92
+	// UrgentShare is the extra fraction of a node's budget that only urgent
+	// requests (sessions, ownership, cancellations) may use.
+	UrgentShare = 0.15
+	// TxnBytes bounds one transaction's encoded size; the service takes 64 KiB
+	// measured as JSON, and our CBOR is smaller than its JSON form by up to a third.
+	TxnBytes = 36 << 10
+	// ValueFraction of the value limit is what one record may take in CBOR,
+	// since the limit is measured in the longer JSON form.
+	ValueFraction = 0.6
+	// GuardsPerOp is how many conditions a transaction may have per operation.
+	GuardsPerOp = 4
+	// CommitLanes is how many transactions a node has in flight. More would
+	// only make guards collide.
+	CommitLanes = 3
+	// CommitQueue bounds the items that wait for a transaction.
+	CommitQueue = 4096
+	// StateTimeout is how long a request to the state service may take: usual
+	// answers come under 10 ms, rare ones take a few hundred.
+	StateTimeout = 1500 * time.Millisecond
+	// StateRetry is the pause after 429 or 503 from the state service.
+	StateRetry = 150 * time.Millisecond
+	// StateBody bounds one answer of the state service: watches have no limit
+	// of their own, so this only stops a runaway.
+	StateBody = 64 << 20
+	// PageRows is how many rows a listing asks for at a time.
+	PageRows = 500
+	// WatchHold is how long a watch waits for a change.
+	WatchHold = 2 * time.Second
+	// WatchRateShare is the fraction of a node's request budget that watches may use.
+	WatchRateShare = 0.25
+	// SyncRateShare is the fraction of a node's request budget that read barriers may use.
+	SyncRateShare = 0.3
+	// IdleConns is how many kept connections a client holds for one host.
+	IdleConns = 8
+)
+
+// Job records.
+const (
+	// ChunkTasks is how many tasks one record holds: at about 50 bytes a task
+	// it stays below the smallest value limit seen (16 KiB as JSON).
+	ChunkTasks = 128
+	// MaxTasks is the largest job of the protocol.
+	MaxTasks = 100_000
+	// MaxNameBytes bounds names in users' input.
+	MaxNameBytes = 128
+	// MaxAmount bounds amounts in users' input; anything larger is absurd.
+	MaxAmount = 1e9
+	// FinalsCached is how many finished jobs a node remembers to spare reads.
+	FinalsCached = 4096
+)
+
+// Users' API.
+const (
+	// BodyLimit is the protocol's bound on a request body, in bytes.
+	BodyLimit = 64 << 10
+	// SubmitTimeout is how long a submission may wait for its durable record;
+	// users give up after 5 s.
+	SubmitTimeout = 3500 * time.Millisecond
+	// PollTimeout is how long a poll may wait for its barrier; users wait 2 s.
+	PollTimeout = 1600 * time.Millisecond
+	// RetryAfterS is what a shed request is told, in seconds.
+	RetryAfterS = 1
+	// ReadTimeout bounds the reading of one request, so that slow clients hold no sockets.
+	ReadTimeout = 10 * time.Second
+	// IdleTimeout closes connections that carry nothing.
+	IdleTimeout = 90 * time.Second
+	// SocketShare of the socket limit is what the listener accepts; the rest is for our own connections.
+	SocketShare = 0.7
+	// BusyRequests bounds the users' requests being served at once.
+	BusyRequests = 256
+	// ReadyStale is the age of the state view past which a node calls itself
+	// not ready. Longer than an ordinary hiccup, shorter than users' patience.
+	ReadyStale = 4 * time.Second
+)
+
+// Membership.
+const (
+	// SessionTTL is the life of a node's session without renewal: a crash is
+	// noticed after it. Shorter would turn a slow second into a takeover.
+	SessionTTL = 3 * time.Second
+	// SessionRenew is the interval of renewals, a third of the life.
+	SessionRenew = 1 * time.Second
+	// TakeoverStep staggers nodes that want the same part, per part already owned.
+	TakeoverStep = 250 * time.Millisecond
+	// HomeGrace is how long others leave an unowned part to its home node.
+	HomeGrace = 1500 * time.Millisecond
+	// HandBackAfter is how long a home node must be present before its part returns to it.
+	HandBackAfter = 10 * time.Second
+	// MemberTick is the interval at which membership is reviewed.
+	MemberTick = 200 * time.Millisecond
+)
+
+// Workers.
+const (
+	// LeaseMargin is kept between the last possible lease end and the time by
+	// which a cancelled task must be gone.
+	LeaseMargin = 4 * time.Second
+	// ClockDrift is how far two steady clocks may run apart, as a fraction.
+	ClockDrift = 0.0005
+	// OrderTimeout is how long a direct command may take.
+	OrderTimeout = 3 * time.Second
+	// OrderLanes is how many direct commands a node has in flight.
+	OrderLanes = 32
+	// StrayAfter is how long a task that no record knows may be reported before
+	// it is stopped; reports may be a moment older than records.
+	StrayAfter = 5 * time.Second
+	// SilentAfter is how long a worker may be silent, in report intervals,
+	// before its machine counts as unreachable.
+	SilentAfter = 2.2
+	// DeadAfter is how long a machine may be silent before it is deleted, in report intervals.
+	DeadAfter = 5.0
+	// DeadCap is the largest fraction of a node's machines (at least two) that
+	// may be deleted for silence in DeadWindow.
+	DeadCap = 0.15
+	// DeadWindow is the window of DeadCap.
+	DeadWindow = 20 * time.Second
+	// FenceEvery is the shortest time between two raises of a part's token for launches in doubt.
+	FenceEvery = 5 * time.Second
+	// MachineErrors is how many tasks of different jobs must fail on a machine before it is replaced.
+	MachineErrors = 2
+	// RefuseHold keeps a machine that refused a start out of placement.
+	RefuseHold = 3 * time.Second
+)
+
+// Placement.
+const (
+	// PlaceGap is the shortest time between two placement rounds.
+	PlaceGap = 40 * time.Millisecond
+	// PlaceIdle is the longest.
+	PlaceIdle = 500 * time.Millisecond
+	// DealHold is how long a task is left to the part it was dealt to before any part may take it.
+	DealHold = 600 * time.Millisecond
+	// RoundTasks bounds the tasks bound in one round.
+	RoundTasks = 96
+	// RoundJobs bounds the jobs looked at in one round.
+	RoundJobs = 400
+	// JobBackoff and JobBackoffMax pace the restarts of a task that fails on several machines.
+	JobBackoff    = 2 * time.Second
+	JobBackoffMax = 60 * time.Second
+	// PreemptHold is how long room freed for a task is kept for it.
+	PreemptHold = 12 * time.Second
+	// GangForm is how long a gang may take to be bound whole before it is withdrawn.
+	GangForm = 6 * time.Second
+	// JobSlice is how many of a job's waiting tasks one round looks at.
+	JobSlice = 256
+	// NoDeadline stands for the deadline of jobs without one, after their arrival.
+	NoDeadline = time.Hour
+	// CommitTimeout bounds the wait for one change of records.
+	CommitTimeout = 8 * time.Second
+	// StopMargin is added to a task's saving time when it is stopped.
+	StopMargin = 1 * time.Second
+	// UnknownPause is how long placement waits before it fences a write without an answer.
+	UnknownPause = 200 * time.Millisecond
+)
+
+// Teams.
+const (
+	// GrantIdle is how long a part keeps a granted share that its tasks do not use.
+	GrantIdle = 1 * time.Second
+)
+
+// Pool.
+const (
+	// PoolTick is the interval at which the fleet's size is reviewed.
+	PoolTick = 500 * time.Millisecond
+	// PoolMin is the smallest fleet (ours), in machines.
+	PoolMin = 2
+	// PoolStep is the room kept above the booked room (ours), in machines.
+	PoolStep = 1
+	// PoolHold is how long a size is kept before the fleet shrinks (ours).
+	PoolHold = 20 * time.Second
+	// RentMax is the most machines one request may ask for.
+	RentMax = 50
+	// RefusedHold is the pause after a type, zone and kind was refused.
+	RefusedHold = 6 * time.Second
+	// BootStuck is how many nominal boot times a machine may take before it is replaced.
+	BootStuck = 3.5
+	// BootStuckMin is the least such wait.
+	BootStuckMin = 20 * time.Second
+	// ListEvery is the interval of machine listings.
+	ListEvery = 5 * time.Second
+	// CloudTimeout bounds a call to the cloud.
+	CloudTimeout = 5 * time.Second
+	// CloudShare is the fraction of the cloud's rate that all nodes plan to use.
+	CloudShare = 0.85
+	// CatalogEvery is the interval at which the catalog is read again.
+	CatalogEvery = 60 * time.Second
+	// ReturnMax is the most machines one return may name.
+	ReturnMax = 100
+	// IdleReturn is how long a machine stands idle before it may be returned.
+	IdleReturn = 20 * time.Second
+)
+
+// Process.
+const (
+	// MemoryShare of the memory limit is given to Go's heap limit; the rest is stacks, code and the C library.
+	MemoryShare = 0.7
+	// StopGrace is how long orderly cancellation may take.
+	StopGrace = 2 * time.Second
+)
--- /dev/null
+++ b/internal/world/records.go
@@ -0,0 +1,177 @@
+// Package world is a node's view of the durable records: jobs, machines, parts,
+// sessions, grants and rentals, with the indexes that decisions need.
+package world
+
+import (
+	"fmt"
+	"hash/fnv"
+	"strconv"
+	"strings"
+
+	"sableusher/internal/tuning"
+	"sableusher/internal/wire"
+)
+
+// Keys of the state service. All live records stand under Root and are
+// followed by every node; finished jobs stand apart and are read one by one.
+const (
+	Root       = "s/"
+	jobKeys    = "s/j/"
+	chunkKeys  = "s/t/"
+	machKeys   = "s/m/"
+	partKeys   = "s/p/"
+	nodeKeys   = "s/n/"
+	quotaKeys  = "s/q/"
+	rentKeys   = "s/r/"
+	CatalogKey = "s/catalog"
+	finalKeys  = "f/"
+)
+
+// Keys by record.
+func JobKey(id string) string          { return jobKeys + id }
+func ChunkKey(id string, k int) string { return fmt.Sprintf("%s%s/%04d", chunkKeys, id, k) }
+func MachineKey(name string) string    { return machKeys + name }
+func PartKey(p int) string             { return partKeys + strconv.Itoa(p) }
+func NodeKey(name string) string       { return nodeKeys + name }
+func QuotaKey(team string) string      { return quotaKeys + team }
+func RentalKey(name string) string     { return rentKeys + name }
+func FinalKey(id string) string        { return finalKeys + id }
+
+// Leader is the pseudo part whose owner leads: it sizes the fleet.
+const Leader = -1
+
+// PartOf says which part a machine belongs to.
+func PartOf(machine string, size int) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(machine))
+	// The low bits of FNV follow the last character too closely for names that count up.
+	v := h.Sum32()
+	v ^= v >> 15
+	v *= 0x2c1b3c6d
+	v ^= v >> 12
+	return int(v % uint32(size))
+}
+
+// Durable states of a task.
+const (
+	Idle  = 0
+	Bound = 1
+	Done  = 2
+)
+
+// Task is the durable state of one task. Attempt is the last one used.
+type Task struct {
+	_       struct{} `cbor:",toarray"`
+	Index   int
+	State   int
+	Attempt uint64
+	Machine string
+	Session uint64
+}
+
+// TaskRef names a task.
+type TaskRef struct {
+	Job   string
+	Index int
+}
+
+func (r TaskRef) String() string { return r.Job + "/" + strconv.Itoa(r.Index) }
+
+// ParseRef reads a task's name.
+func ParseRef(s string) (TaskRef, bool) {
+	job, num, ok := strings.Cut(s, "/")
+	i, err := strconv.Atoi(num)
+	if !ok || err != nil || i < 0 {
+		return TaskRef{}, false
+	}
+	return TaskRef{Job: job, Index: i}, true
+}
+
+// JobRecord is a live job with its first chunk of tasks. Tasks that were never
+// bound are left out.
+type JobRecord struct {
+	Spec     wire.Spec `cbor:"s"`
+	AtMs     int64     `cbor:"t"`
+	CancelMs int64     `cbor:"x,omitempty"`
+	Tasks    []Task    `cbor:"k,omitempty"`
+}
+
+// ChunkRecord is a further chunk of tasks.
+type ChunkRecord struct {
+	Tasks []Task `cbor:"k"`
+}
+
+// MachineRecord is a rented or adopted machine.
+type MachineRecord struct {
+	Type    string `cbor:"h"`
+	Zone    string `cbor:"z"`
+	Spot    bool   `cbor:"o"`
+	Address string `cbor:"a,omitempty"`
+	AtMs    int64  `cbor:"t"`
+	Up      bool   `cbor:"u,omitempty"`
+	Drain   bool   `cbor:"d,omitempty"` // no new tasks; to be returned once idle
+	Gone    bool   `cbor:"g,omitempty"` // being deleted: nothing is placed or renewed
+}
+
+// PartRecord says who owns a part. Every change of owner raises the token.
+type PartRecord struct {
+	Owner string `cbor:"o"`
+	Inc   uint64 `cbor:"i"`
+	Token uint64 `cbor:"e"`
+	Touch uint64 `cbor:"c,omitempty"` // counts rewrites that only fence older transactions
+}
+
+// NodeRecord marks a live session; it is attached to a hold.
+type NodeRecord struct {
+	Inc uint64 `cbor:"i"`
+}
+
+// QuotaRecord grants shares of a team's limit to parts.
+type QuotaRecord struct {
+	Grants map[string]Amount `cbor:"g"`
+}
+
+// RentalRecord is a rental request, written before it is sent.
+type RentalRecord struct {
+	Type  string `cbor:"h"`
+	Zone  string `cbor:"z"`
+	Spot  bool   `cbor:"o"`
+	Count int    `cbor:"n"`
+	AtMs  int64  `cbor:"t"`
+}
+
+// FinalRecord is what remains of a finished job.
+type FinalRecord struct {
+	Status string `cbor:"s"`
+	Tasks  int    `cbor:"n"`
+	Done   int    `cbor:"d"`
+	AtMs   int64  `cbor:"t"`
+}
+
+// Amount is what tasks take.
+type Amount struct {
+	CPUs float64 `cbor:"c"`
+	GPUs float64 `cbor:"g"`
+	Mem  float64 `cbor:"m,omitempty"`
+}
+
+const slack = 1e-6 // amounts are decimal; their sums are not exact
+
+// Plus adds n times b.
+func (a Amount) Plus(b Amount, n float64) Amount {
+	return Amount{a.CPUs + n*b.CPUs, a.GPUs + n*b.GPUs, a.Mem + n*b.Mem}
+}
+
+// Within tells whether a fits into b.
+func (a Amount) Within(b Amount) bool {
+	return a.CPUs <= b.CPUs+slack && a.GPUs <= b.GPUs+slack && a.Mem <= b.Mem+slack
+}
+
+// Need is what one task of a job takes.
+func Need(s *wire.Spec) Amount { return Amount{s.CPUs, s.GPUs, s.MemoryGB} }
+
+// Capacity of a machine type.
+func Capacity(t *wire.MachineType) Amount { return Amount{t.CPUs, t.GPUs, t.MemoryGB} }
+
+// Chunks is the number of records a job's tasks take.
+func Chunks(tasks int) int { return (tasks + tuning.ChunkTasks - 1) / tuning.ChunkTasks }
--- /dev/null
+++ b/internal/world/world.go
@@ -0,0 +1,439 @@
+package world
+
+import (
+	"log/slog"
+	"maps"
+	"strings"
+	"sync"
+
+	"sableusher/internal/tuning"
+	"sableusher/internal/wire"
+)
+
+// Chunk is a run of a job's tasks.
+type Chunk struct {
+	Stamp uint64
+	Tasks []Task // by position; empty until a task of it was bound
+}
+
+// Job is a live job.
+type Job struct {
+	JobRecord
+	Stamp  uint64
+	Known  bool // the job's own record was seen, not only chunks
+	Chunks []Chunk
+	Bound  int
+	Done   int
+}
+
+// Pending is the number of tasks neither bound nor done.
+func (j *Job) Pending() int { return j.Spec.Tasks - j.Bound - j.Done }
+
+// Cancelled tells whether the job was cancelled.
+func (j *Job) Cancelled() bool { return j.CancelMs != 0 }
+
+// Task gives the durable state of task i.
+func (j *Job) Task(i int) Task {
+	if k := i / tuning.ChunkTasks; k < len(j.Chunks) {
+		if c := &j.Chunks[k]; len(c.Tasks) > 0 {
+			return c.Tasks[i%tuning.ChunkTasks]
+		}
+	}
+	return Task{Index: i}
+}
+
+// Each calls f for every task that was ever bound.
+func (j *Job) Each(f func(Task)) {
+	for k := range j.Chunks {
+		for _, t := range j.Chunks[k].Tasks {
+			if t.State != Idle || t.Attempt != 0 {
+				f(t)
+			}
+		}
+	}
+}
+
+// Binding is a task bound to a machine.
+type Binding struct {
+	Ref     TaskRef
+	Job     *Job
+	Attempt uint64
+	Session uint64
+}
+
+// Machine is a known machine.
+type Machine struct {
+	MachineRecord
+	Name  string
+	Part  int
+	Stamp uint64
+	Bound map[TaskRef]Binding
+	Used  Amount
+}
+
+// Part is a part's ownership.
+type Part struct {
+	PartRecord
+	Stamp uint64
+}
+
+// Node is a live session.
+type Node struct {
+	NodeRecord
+	Stamp uint64
+}
+
+// Quota is a team's grants.
+type Quota struct {
+	QuotaRecord
+	Stamp uint64
+}
+
+// Rental is an open rental request.
+type Rental struct {
+	RentalRecord
+	Stamp uint64
+}
+
+// World is the view. Its lock guards everything in it; holders of the lock may
+// read the maps but only Put and Drop change them.
+type World struct {
+	sync.RWMutex
+	Size int
+
+	Jobs     map[string]*Job
+	Machines map[string]*Machine
+	Parts    map[int]Part
+	Nodes    map[string]Node
+	Quotas   map[string]Quota
+	Rentals  map[string]Rental
+	Types    map[string]wire.MachineType
+	CatStamp uint64
+	// Usage is what bound tasks take, by part and team.
+	Usage []map[string]Amount
+	// Orphans are bindings to machines that no record knows.
+	Orphans map[string]map[TaskRef]Binding
+
+	log  *slog.Logger
+	subs []chan struct{}
+}
+
+// New makes an empty view of a region with so many parts.
+func New(size int, log *slog.Logger) *World {
+	w := &World{
+		Size: size, Jobs: map[string]*Job{}, Machines: map[string]*Machine{}, Parts: map[int]Part{},
+		Nodes: map[string]Node{}, Quotas: map[string]Quota{}, Rentals: map[string]Rental{},
+		Types: map[string]wire.MachineType{}, Orphans: map[string]map[TaskRef]Binding{}, log: log,
+	}
+	for range size {
+		w.Usage = append(w.Usage, map[string]Amount{})
+	}
+	return w
+}
+
+// Subscribe gives a channel that is poked after changes.
+func (w *World) Subscribe() <-chan struct{} {
+	ch := make(chan struct{}, 1)
+	w.Lock()
+	defer w.Unlock()
+	w.subs = append(w.subs, ch)
+	return ch
+}
+
+// Begin starts a group of changes that readers see as one.
+func (w *World) Begin() { w.Lock() }
+
+// Flush ends the group and pokes the subscribers.
+func (w *World) Flush() {
+	subs := w.subs
+	w.Unlock()
+	for _, ch := range subs {
+		select {
+		case ch <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func decode[T any](w *World, key string, v wire.Raw) (T, bool) {
+	var rec T
+	if err := wire.Decode(v, &rec); err != nil {
+		w.log.Error("unreadable record", "key", key, "err", err)
+		return rec, false
+	}
+	return rec, true
+}
+
+// Put takes in a changed record; within a group.
+func (w *World) Put(key string, v wire.Raw, stamp uint64) {
+	switch {
+	case strings.HasPrefix(key, jobKeys):
+		if rec, ok := decode[JobRecord](w, key, v); ok {
+			w.putJob(rec, stamp)
+		}
+	case strings.HasPrefix(key, chunkKeys):
+		if id, k, ok := parseChunk(key); ok {
+			if rec, ok := decode[ChunkRecord](w, key, v); ok {
+				w.setChunk(w.job(id), k, rec.Tasks, stamp)
+			}
+		}
+	case strings.HasPrefix(key, machKeys):
+		if rec, ok := decode[MachineRecord](w, key, v); ok {
+			w.putMachine(strings.TrimPrefix(key, machKeys), rec, stamp)
+		}
+	case strings.HasPrefix(key, partKeys):
+		if rec, ok := decode[PartRecord](w, key, v); ok {
+			w.Parts[parsePart(key)] = Part{rec, stamp}
+		}
+	case strings.HasPrefix(key, nodeKeys):
+		if rec, ok := decode[NodeRecord](w, key, v); ok {
+			w.Nodes[strings.TrimPrefix(key, nodeKeys)] = Node{rec, stamp}
+		}
+	case strings.HasPrefix(key, quotaKeys):
+		if rec, ok := decode[QuotaRecord](w, key, v); ok {
+			w.Quotas[strings.TrimPrefix(key, quotaKeys)] = Quota{rec, stamp}
+		}
+	case strings.HasPrefix(key, rentKeys):
+		if rec, ok := decode[RentalRecord](w, key, v); ok {
+			w.Rentals[strings.TrimPrefix(key, rentKeys)] = Rental{rec, stamp}
+		}
+	case key == CatalogKey:
+		if rec, ok := decode[wire.Catalog](w, key, v); ok {
+			types := map[string]wire.MachineType{}
+			for _, t := range rec.Types {
+				types[t.Name] = t
+			}
+			w.Types, w.CatStamp = types, stamp
+		}
+	}
+}
+
+// Drop takes in a removed record; within a group.
+func (w *World) Drop(key string) {
+	switch {
+	case strings.HasPrefix(key, jobKeys):
+		w.dropJob(strings.TrimPrefix(key, jobKeys))
+	case strings.HasPrefix(key, chunkKeys):
+		if id, k, ok := parseChunk(key); ok {
+			if j := w.Jobs[id]; j != nil {
+				w.setChunk(j, k, nil, 0)
+				w.sweepJob(id, j)
+			}
+		}
+	case strings.HasPrefix(key, machKeys):
+		w.dropMachine(strings.TrimPrefix(key, machKeys))
+	case strings.HasPrefix(key, partKeys):
+		delete(w.Parts, parsePart(key))
+	case strings.HasPrefix(key, nodeKeys):
+		delete(w.Nodes, strings.TrimPrefix(key, nodeKeys))
+	case strings.HasPrefix(key, quotaKeys):
+		delete(w.Quotas, strings.TrimPrefix(key, quotaKeys))
+	case strings.HasPrefix(key, rentKeys):
+		delete(w.Rentals, strings.TrimPrefix(key, rentKeys))
+	}
+}
+
+func parseChunk(key string) (string, int, bool) {
+	ref, ok := ParseRef(strings.TrimPrefix(key, chunkKeys))
+	return ref.Job, ref.Index, ok && ref.Index > 0 && ref.Index < Chunks(tuning.MaxTasks)
+}
+
+func parsePart(key string) int {
+	p := 0
+	for _, c := range strings.TrimPrefix(key, partKeys) {
+		if c == '-' {
+			return Leader
+		}
+		p = p*10 + int(c-'0')
+	}
+	return p
+}
+
+func (w *World) job(id string) *Job {
+	j := w.Jobs[id]
+	if j == nil {
+		j = &Job{}
+		w.Jobs[id] = j
+	}
+	return j
+}
+
+func (w *World) putJob(rec JobRecord, stamp uint64) {
+	j := w.job(rec.Spec.ID)
+	tasks := rec.Tasks
+	rec.Tasks = nil
+	first := !j.Known
+	j.JobRecord, j.Stamp, j.Known = rec, stamp, true
+	if first {
+		// Chunks seen earlier were sized without the job's task count.
+		for k := range j.Chunks {
+			old := j.Chunks[k]
+			j.Chunks[k] = Chunk{}
+			w.setChunk(j, k, old.Tasks, old.Stamp)
+		}
+	}
+	w.setChunk(j, 0, tasks, stamp)
+}
+
+// setChunk replaces a chunk's tasks and keeps the indexes in step.
+func (w *World) setChunk(j *Job, k int, tasks []Task, stamp uint64) {
+	for len(j.Chunks) <= k {
+		j.Chunks = append(j.Chunks, Chunk{})
+	}
+	c := &j.Chunks[k]
+	if !j.Known {
+		c.Tasks, c.Stamp = tasks, stamp
+		return
+	}
+	for _, t := range c.Tasks {
+		w.index(j, t, -1)
+	}
+	c.Stamp, c.Tasks = stamp, nil
+	if len(tasks) == 0 {
+		return
+	}
+	base := k * tuning.ChunkTasks
+	c.Tasks = make([]Task, min(tuning.ChunkTasks, j.Spec.Tasks-base))
+	for i := range c.Tasks {
+		c.Tasks[i].Index = base + i
+	}
+	for _, t := range tasks {
+		if i := t.Index - base; i >= 0 && i < len(c.Tasks) {
+			c.Tasks[i] = t
+		}
+	}
+	for _, t := range c.Tasks {
+		w.index(j, t, 1)
+	}
+}
+
+func (w *World) index(j *Job, t Task, n int) {
+	switch t.State {
+	case Done:
+		j.Done += n
+	case Bound:
+		j.Bound += n
+		ref := TaskRef{j.Spec.ID, t.Index}
+		need := Need(&j.Spec)
+		usage := w.Usage[PartOf(t.Machine, w.Size)]
+		usage[j.Spec.Team] = usage[j.Spec.Team].Plus(need, float64(n))
+		m := w.Machines[t.Machine]
+		var set map[TaskRef]Binding
+		if m != nil {
+			set = m.Bound
+			m.Used = m.Used.Plus(need, float64(n))
+		} else if set = w.Orphans[t.Machine]; set == nil {
+			set = map[TaskRef]Binding{}
+			w.Orphans[t.Machine] = set
+		}
+		if n > 0 {
+			set[ref] = Binding{ref, j, t.Attempt, t.Session}
+		} else {
+			delete(set, ref)
+			if m == nil && len(set) == 0 {
+				delete(w.Orphans, t.Machine)
+			}
+		}
+		if len(set) == 0 && m != nil {
+			m.Used = Amount{} // no rounding is carried along
+		}
+	}
+}
+
+func (w *World) dropJob(id string) {
+	j := w.Jobs[id]
+	if j == nil {
+		return
+	}
+	if j.Known {
+		for k := range j.Chunks {
+			for _, t := range j.Chunks[k].Tasks {
+				w.index(j, t, -1)
+			}
+		}
+	}
+	chunks := j.Chunks
+	nj := &Job{}
+	for k := 1; k < len(chunks); k++ {
+		if chunks[k].Stamp != 0 {
+			w.setChunk(nj, k, chunks[k].Tasks, chunks[k].Stamp)
+		}
+	}
+	w.Jobs[id] = nj
+	w.sweepJob(id, nj)
+}
+
+// sweepJob forgets a job of which no record is left.
+func (w *World) sweepJob(id string, j *Job) {
+	if j.Known {
+		return
+	}
+	for _, c := range j.Chunks {
+		if c.Stamp != 0 {
+			return
+		}
+	}
+	delete(w.Jobs, id)
+}
+
+func (w *World) putMachine(name string, rec MachineRecord, stamp uint64) {
+	m := w.Machines[name]
+	if m == nil {
+		m = &Machine{Name: name, Part: PartOf(name, w.Size), Bound: map[TaskRef]Binding{}}
+		w.Machines[name] = m
+		if set := w.Orphans[name]; set != nil {
+			m.Bound = set
+			for _, b := range set {
+				m.Used = m.Used.Plus(Need(&b.Job.Spec), 1)
+			}
+			delete(w.Orphans, name)
+		}
+	}
+	m.MachineRecord, m.Stamp = rec, stamp
+}
+
+func (w *World) dropMachine(name string) {
+	m := w.Machines[name]
+	if m == nil {
+		return
+	}
+	delete(w.Machines, name)
+	if len(m.Bound) > 0 {
+		w.Orphans[name] = maps.Clone(m.Bound)
+	}
+}
+
+// Encode gives the record of the chunk that holds task i, with changes.
+func (j *Job) Encode(k int, change map[int]Task) (string, wire.Raw) {
+	var tasks []Task
+	base := k * tuning.ChunkTasks
+	for i := base; i < min(base+tuning.ChunkTasks, j.Spec.Tasks); i++ {
+		t, ok := change[i]
+		if !ok {
+			t = j.Task(i)
+		}
+		if t.State != Idle || t.Attempt != 0 {
+			tasks = append(tasks, t)
+		}
+	}
+	if k == 0 {
+		rec := j.JobRecord
+		rec.Tasks = tasks
+		return JobKey(j.Spec.ID), wire.MustEncode(rec)
+	}
+	return ChunkKey(j.Spec.ID, k), wire.MustEncode(ChunkRecord{tasks})
+}
+
+// ChunkGuards are the conditions under which an encoded chunk may be written:
+// neither it nor the job's record has changed.
+func (j *Job) ChunkGuards(k int) []wire.Guard {
+	g := []wire.Guard{{Key: JobKey(j.Spec.ID), Stamp: j.Stamp}}
+	if k > 0 {
+		var s uint64
+		if k < len(j.Chunks) {
+			s = j.Chunks[k].Stamp
+		}
+		g = append(g, wire.Guard{Key: ChunkKey(j.Spec.ID, k), Stamp: s})
+	}
+	return g
+}
