Cache: late overlapping watch answers no longer bring back dropped keys

A watch answer that began before a read barrier arrived after it and set a job's record again whose removal the barrier had already taken in. Changes at or below the cache's revision are now passed over, our own writes included.

--- a/internal/store/cache.go
+++ b/internal/store/cache.go
@@ -101,7 +101,10 @@
 }
 
 // apply takes in all changes after a revision that the cache has already
-// reached. Answers overlap, so each key's own stamp decides.
+// reached. Answers overlap and may come out of order: what lies at or below the
+// cache's own revision was taken in before, and taking it in again would bring
+// back keys dropped since. Above it, each key's own stamp decides, since our own
+// writes run ahead.
 func (c *Cache) apply(after uint64, news wire.News, asked time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -111,6 +114,9 @@
 	c.sink.Begin()
 	defer c.sink.Flush()
 	for _, e := range news.Events {
+		if e.Stamp <= c.rev {
+			continue
+		}
 		if e.Set != "" {
 			c.put(e.Set, e.Value, e.Stamp)
 		} else {
@@ -148,10 +154,13 @@
 }
 
 // Local takes in a transaction of our own that was applied at a revision,
-// ahead of the watch.
+// unless the watch was faster.
 func (c *Cache) Local(ops []wire.Op, rev uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if rev <= c.rev {
+		return
+	}
 	c.sink.Begin()
 	defer c.sink.Flush()
 	for _, o := range ops {
@@ -164,9 +173,7 @@
 			continue
 		}
 		c.drop(k, rev)
-		if rev > c.rev {
-			c.dropped[k] = rev
-		}
+		c.dropped[k] = rev
 	}
 }
 
