--- a/cmd/sableusher/serve.go
+++ b/cmd/sableusher/serve.go
@@ -19,15 +19,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"sableusher/internal/config"
-	"sableusher/internal/fleet"
-	"sableusher/internal/intake"
-	"sableusher/internal/member"
-	"sableusher/internal/place"
-	"sableusher/internal/pool"
-	"sableusher/internal/store"
+	"sableusher/internal/node"
 	"sableusher/internal/tuning"
-	"sableusher/internal/wire"
-	"sableusher/internal/world"
 )
 
 func logger() *slog.Logger {
@@ -50,32 +43,18 @@
 	runtime.GOMAXPROCS(max(1, int(d.Limits.CPUShare+0.5)))
 	debug.SetMemoryLimit(int64(d.Limits.MemMB * tuning.MemoryShare * (1 << 20)))
 
-	share := tuning.StateShare / float64(d.Size)
-	client := store.NewClient(set.Outside.State, store.Limits{
-		RPS: d.State.RPS * share, WriteRPS: d.State.WriteRPS * share, ValueKB: d.State.ValueKB, TxnOps: d.State.TxnOps,
-	}, nil)
-	view := world.New(d.Size, log)
-	cache := store.NewCache(client, world.Root, view, log)
-	commit := store.NewCommitter(client, func(ops []wire.Op, rev uint64) { cache.Local(ops, rev) })
-	members := member.New(set.Node, rand.Uint64N(1<<52)+1, set.Nodes(), client, commit, cache, view, log)
-	workers := fleet.New(set, view, members, cache.Fresh, log, nil)
-	engine := place.New(set, op, view, members, workers, commit, log)
-	cloud := pool.NewCloud(set.Outside.Cloud, d.Cloud.RPS*tuning.CloudShare/float64(d.Size), nil)
-	machines := pool.New(set, op, view, members, engine, cloud, commit, log)
-	users := intake.New(set, view, client, commit, cache, workers, log)
+	controller := node.New(set, op, rand.Uint64N(1<<52)+1, nil, log)
 
 	listener, err := net.Listen("tcp4", set.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
 	listener = netutil.LimitListener(listener, max(16, int(float64(d.Limits.MaxSockets)*tuning.SocketShare)))
-	server := &http.Server{Handler: users.Handler(), ReadTimeout: tuning.ReadTimeout, IdleTimeout: tuning.IdleTimeout,
+	server := &http.Server{Handler: controller.Handler(), ReadTimeout: tuning.ReadTimeout, IdleTimeout: tuning.IdleTimeout,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
 
 	g, ctx := errgroup.WithContext(ctx)
-	for _, run := range []func(context.Context) error{cache.Run, commit.Run, members.Run, workers.Run, engine.Run, machines.Run} {
-		g.Go(func() error { return run(ctx) })
-	}
+	g.Go(func() error { return controller.Run(ctx) })
 	g.Go(func() error { return server.Serve(listener) })
 	g.Go(func() error {
 		<-ctx.Done()
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,61 @@
+// Package node puts the slices of one controller together.
+package node
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+
+	"golang.org/x/sync/errgroup"
+
+	"sableusher/internal/config"
+	"sableusher/internal/fleet"
+	"sableusher/internal/intake"
+	"sableusher/internal/member"
+	"sableusher/internal/place"
+	"sableusher/internal/pool"
+	"sableusher/internal/store"
+	"sableusher/internal/tuning"
+	"sableusher/internal/wire"
+	"sableusher/internal/world"
+)
+
+// Node is a controller.
+type Node struct {
+	handler http.Handler
+	runs    []func(context.Context) error
+}
+
+// New makes a controller. inc tells this process from all others under its
+// name; rt carries its requests, nil for the network.
+func New(set *config.Settings, op *config.Operator, inc uint64, rt http.RoundTripper, log *slog.Logger) *Node {
+	d := &set.Deployment
+	share := tuning.StateShare / float64(d.Size)
+	client := store.NewClient(set.Outside.State, store.Limits{
+		RPS: d.State.RPS * share, WriteRPS: d.State.WriteRPS * share, ValueKB: d.State.ValueKB, TxnOps: d.State.TxnOps,
+	}, rt)
+	view := world.New(d.Size, log)
+	cache := store.NewCache(client, world.Root, view, log)
+	commit := store.NewCommitter(client, func(ops []wire.Op, rev uint64) { cache.Local(ops, rev) })
+	members := member.New(set.Node, inc, set.Nodes(), client, commit, cache, view, log)
+	workers := fleet.New(set, view, members, cache.Fresh, log, rt)
+	engine := place.New(set, op, view, members, workers, commit, log)
+	cloud := pool.NewCloud(set.Outside.Cloud, d.Cloud.RPS*tuning.CloudShare/float64(d.Size), rt)
+	machines := pool.New(set, op, view, members, engine, cloud, commit, log)
+	users := intake.New(set, view, client, commit, cache, workers, log)
+	return &Node{handler: users.Handler(), runs: []func(context.Context) error{
+		cache.Run, commit.Run, members.Run, workers.Run, engine.Run, machines.Run,
+	}}
+}
+
+// Handler serves users, workers and health checks.
+func (n *Node) Handler() http.Handler { return n.handler }
+
+// Run keeps the node's duties until ctx ends or one of them fails.
+func (n *Node) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	for _, run := range n.runs {
+		g.Go(func() error { return run(ctx) })
+	}
+	return g.Wait()
+}
--- /dev/null
+++ b/internal/standin/oracle.go
@@ -0,0 +1,233 @@
+package standin
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"sableusher/internal/config"
+	"sableusher/internal/wire"
+	"sableusher/internal/world"
+)
+
+// Place is where a task stands.
+type Place struct {
+	Machine, Type, Zone string
+	Spot                bool
+}
+
+// Oracle watches workers and users and notes every broken rule.
+type Oracle struct {
+	mu     sync.Mutex
+	set    *config.Settings
+	jobs   map[string]*truth
+	on     map[world.TaskRef]map[string]Place
+	Broken []string
+	Starts int
+}
+
+// truth is what is known of a job from outside the service.
+type truth struct {
+	spec      wire.Spec
+	done      map[int]bool
+	saved     map[int]float64
+	accepted  bool
+	asked     bool // its user asked to cancel it
+	cancelled time.Time
+	told      string // the last final state told
+}
+
+// NewOracle makes an oracle for a region.
+func NewOracle(set *config.Settings) *Oracle {
+	return &Oracle{set: set, jobs: map[string]*truth{}, on: map[world.TaskRef]map[string]Place{}}
+}
+
+func (o *Oracle) breaks(rule, format string, a ...any) {
+	o.Broken = append(o.Broken, rule+": "+fmt.Sprintf(format, a...))
+}
+
+// Note adds a fault that is not one of the rules.
+func (o *Oracle) Note(what string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.Broken = append(o.Broken, what)
+}
+
+// Submitted notes a job that a user is about to submit.
+func (o *Oracle) Submitted(s wire.Spec) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.jobs[s.ID] = &truth{spec: s, done: map[int]bool{}, saved: map[int]float64{}}
+}
+
+// Answer notes what a user was told about a job: status 201 or 200 with a
+// state, 404, 400 or 422. Others tell nothing.
+func (o *Oracle) Answer(id string, status int, state string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	j := o.jobs[id]
+	if j == nil {
+		if status == 200 {
+			o.breaks("invented", "%s", id)
+		}
+		return
+	}
+	switch status {
+	case 404, 400, 422:
+		if j.accepted {
+			o.breaks("forgotten", "%s: answered %d", id, status)
+		}
+		return
+	case 200, 201:
+	default:
+		return
+	}
+	j.accepted = true
+	if state == wire.JobDone && len(j.done) < j.spec.Tasks {
+		o.breaks("not_done", "%s: %d of %d", id, len(j.done), j.spec.Tasks)
+	}
+	if j.told != "" && state != j.told {
+		o.breaks("went_back", "%s: was %s, then %s", id, j.told, state)
+	}
+	if state == wire.JobCancelled && !j.asked {
+		o.breaks("went_back", "%s: cancelled without its user", id)
+	}
+	if state == wire.JobDone || state == wire.JobCancelled {
+		j.told = state
+	}
+	if state == wire.JobCancelled && j.cancelled.IsZero() {
+		j.cancelled = time.Now()
+	}
+}
+
+// Cancelling notes that a user asks to cancel.
+func (o *Oracle) Cancelling(id string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.jobs[id].asked = true
+}
+
+// On notes that a task is on a machine from now on.
+func (o *Oracle) On(ref world.TaskRef, p Place) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	j := o.jobs[ref.Job]
+	if j == nil {
+		o.breaks("invented", "%s runs", ref)
+		return
+	}
+	o.Starts++
+	for m := range o.on[ref] {
+		if m != p.Machine {
+			o.breaks("ran_twice", "%s on %s and %s", ref, m, p.Machine)
+		}
+	}
+	if o.on[ref] == nil {
+		o.on[ref] = map[string]Place{}
+	}
+	o.on[ref][p.Machine] = p
+	s := &j.spec
+	if s.Zone != "" && s.Zone != p.Zone || p.Spot && !s.Spot {
+		o.breaks("wrong_place", "%s on %+v", ref, p)
+	}
+	if len(s.Types) > 0 {
+		ok := false
+		for _, t := range s.Types {
+			ok = ok || t == p.Type
+		}
+		if !ok {
+			o.breaks("wrong_place", "%s on type %s", ref, p.Type)
+		}
+	}
+	inZone := 0
+	for i := range s.Tasks {
+		for _, q := range o.on[world.TaskRef{Job: s.ID, Index: i}] {
+			if q.Zone == p.Zone {
+				inZone++
+			} else if s.OneZone {
+				o.breaks("wrong_place", "%s: tasks in %s and %s", s.ID, q.Zone, p.Zone)
+			}
+		}
+	}
+	if s.Spread && inZone > (s.Tasks+1)/2 {
+		o.breaks("wrong_place", "%s: %d of %d in %s", s.ID, inZone, s.Tasks, p.Zone)
+	}
+	o.checkTeam(s.Team)
+	o.checkCancelled()
+}
+
+func (o *Oracle) checkTeam(team string) {
+	var use world.Amount
+	for ref, at := range o.on {
+		if s := &o.jobs[ref.Job].spec; s.Team == team {
+			use = use.Plus(world.Need(s), float64(len(at)))
+		}
+	}
+	for _, t := range o.set.Deployment.Teams {
+		if t.Name == team && (t.GPUsMax > 0 && use.GPUs > t.GPUsMax+1e-6 || t.CPUsMax > 0 && use.CPUs > t.CPUsMax+1e-6) {
+			o.breaks("quota", "%s uses %+v", team, use)
+		}
+	}
+}
+
+func (o *Oracle) checkCancelled() {
+	for ref, at := range o.on {
+		c := o.jobs[ref.Job].cancelled
+		if len(at) > 0 && !c.IsZero() && time.Since(c) > o.set.Cancel() {
+			o.breaks("ran_cancelled", "%s: %v after", ref, time.Since(c))
+		}
+	}
+}
+
+// Check looks at what only time can break.
+func (o *Oracle) Check() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.checkCancelled()
+}
+
+// Off notes that a task has left a machine.
+func (o *Oracle) Off(ref world.TaskRef, machine string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.on[ref], machine)
+}
+
+// Completed notes that a task has completed.
+func (o *Oracle) Completed(ref world.TaskRef) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.jobs[ref.Job].done[ref.Index] = true
+}
+
+// Spec gives a job's description, as users upload it.
+func (o *Oracle) Spec(id string) (wire.Spec, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	j := o.jobs[id]
+	if j == nil {
+		return wire.Spec{}, false
+	}
+	return j.spec, true
+}
+
+// IsDone tells whether a task has completed.
+func (o *Oracle) IsDone(ref world.TaskRef) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.jobs[ref.Job].done[ref.Index]
+}
+
+// Unfinished lists the accepted jobs that were neither told done nor cancelled,
+// services aside.
+func (o *Oracle) Unfinished() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var out []string
+	for id, j := range o.jobs {
+		if j.accepted && j.told == "" && j.spec.Kind != wire.KindService {
+			out = append(out, fmt.Sprintf("%s (%s, %d of %d done)", id, j.spec.Kind, len(j.done), j.spec.Tasks))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/standin/region.go
@@ -0,0 +1,382 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"sableusher/internal/config"
+	"sableusher/internal/node"
+	"sableusher/internal/wire"
+	"sableusher/internal/world"
+)
+
+// Controller is a node under test, with the process that runs it.
+type Controller struct {
+	Set     *config.Settings
+	Address string
+	stop    context.CancelFunc
+	alive   *atomic.Bool
+	ended   chan struct{}
+}
+
+// Region is a whole deployment of stand-ins around real controllers.
+type Region struct {
+	Set    *config.Settings
+	Net    *Net
+	State  *State
+	Oracle *Oracle
+	Log    *slog.Logger
+
+	ctx   context.Context
+	wg    sync.WaitGroup
+	nodes []*Controller
+
+	mu       sync.Mutex
+	rnd      *rand.Rand
+	types    []wire.MachineType
+	capacity map[string]int // by type, zone and kind
+	machines []*rented
+	charters map[string][]string
+	listings []listing
+	cloudOff time.Time
+	workers  map[string]*worker
+	saved    map[world.TaskRef]bool
+	runS     map[string]float64
+}
+
+type rented struct {
+	wire.Listed
+	rental string
+	key    string
+	since  time.Time
+	up     time.Time
+}
+
+type listing struct {
+	at   time.Time
+	rows []wire.Listed
+}
+
+// NewRegion starts a region: cloud, state service and network, without nodes.
+func NewRegion(ctx context.Context, set *config.Settings, types []wire.MachineType, each int, rnd *rand.Rand, log *slog.Logger) *Region {
+	d := &set.Deployment
+	r := &Region{Set: set, Net: NewNet(rand.New(rand.NewPCG(rnd.Uint64(), 1))), Oracle: NewOracle(set), Log: log,
+		State: NewState(d.State.RPS, d.State.WriteRPS, d.State.TxnOps, d.State.ValueKB, 600),
+		ctx:   ctx, rnd: rnd, types: types, capacity: map[string]int{}, charters: map[string][]string{},
+		workers: map[string]*worker{}, saved: map[world.TaskRef]bool{}, runS: map[string]float64{}}
+	for _, t := range types {
+		for _, z := range t.Zones {
+			for _, spot := range []bool{true, false} {
+				r.capacity[kindKey(t.Name, z, spot)] = each
+			}
+		}
+	}
+	up := func() bool { return true }
+	r.Net.Listen(set.Outside.State, &Host{"state", r.State, up})
+	r.Net.Listen(set.Outside.Cloud, &Host{"cloud", http.HandlerFunc(r.cloud), up})
+	r.wg.Go(func() { r.carryOn(ctx) })
+	return r
+}
+
+// Wait returns once all routines of the region have ended.
+func (r *Region) Wait() { r.wg.Wait() }
+
+func kindKey(typ, zone string, spot bool) string { return fmt.Sprint(typ, "|", zone, "|", spot) }
+
+// Add adds a controller and starts it.
+func (r *Region) Add(set *config.Settings) {
+	r.nodes = append(r.nodes, &Controller{Set: set, Address: set.Listen})
+	r.Start(len(r.nodes) - 1)
+}
+
+// Start runs controller i as a new process.
+func (r *Region) Start(i int) {
+	c := r.nodes[i]
+	ctx, cancel := context.WithCancel(r.ctx)
+	alive := &atomic.Bool{}
+	alive.Store(true)
+	op, err := config.LoadOperator("")
+	if err != nil {
+		panic(err)
+	}
+	r.mu.Lock()
+	inc := r.rnd.Uint64N(1<<40) + 1
+	r.mu.Unlock()
+	n := node.New(c.Set, op, inc, r.Net.From(c.Set.Node, alive.Load), r.Log.With("node", c.Set.Node))
+	c.stop, c.alive, c.ended = cancel, alive, make(chan struct{})
+	r.Net.Listen(c.Address, &Host{c.Set.Node, n.Handler(), func() bool { return true }})
+	ended := c.ended
+	r.wg.Go(func() {
+		_ = n.Run(ctx)
+		close(ended)
+	})
+}
+
+// Kill ends controller i's process without warning.
+func (r *Region) Kill(i int) {
+	c := r.nodes[i]
+	c.alive.Store(false)
+	r.Net.Listen(c.Address, nil)
+	c.stop()
+	<-c.ended
+}
+
+// Nodes is the number of controllers.
+func (r *Region) Nodes() int { return len(r.nodes) }
+
+// Running sets how long a job's tasks run.
+func (r *Region) Running(job string, s float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.runS[job] = s
+}
+
+func (r *Region) left(ref world.TaskRef, s *wire.Spec) time.Duration {
+	run := r.runS[s.ID]
+	if r.saved[ref] {
+		run /= 2
+	}
+	return secs(run)
+}
+
+type mate struct {
+	w *worker
+	k attempt
+	t *task
+}
+
+// mates are the tasks of a gang's attempt that have come together.
+func (r *Region) mates(k attempt) []mate {
+	var out []mate
+	for _, w := range r.workers {
+		if w.hung() {
+			continue
+		}
+		for o, t := range w.tasks {
+			if o.ref.Job == k.ref.Job && o.n == k.n && (t.State == wire.TaskWaiting || t.State == wire.TaskRunning || t.State == wire.TaskSaving) {
+				out = append(out, mate{w, o, t})
+			}
+		}
+	}
+	return out
+}
+
+// carryOn moves the workers and the cloud on.
+func (r *Region) carryOn(ctx context.Context) {
+	for i := 0; ctx.Err() == nil; i++ {
+		time.Sleep(tick)
+		now := time.Now()
+		r.mu.Lock()
+		for _, m := range r.machines {
+			if m.State == wire.MachineBooting && !m.up.IsZero() && now.After(m.up) {
+				m.State = wire.MachineRunning
+				r.boot(ctx, m)
+			}
+		}
+		for _, m := range r.machines {
+			if w := r.workers[m.ID]; w != nil {
+				w.step(now)
+			}
+		}
+		if i%10 == 0 {
+			l := listing{at: now}
+			for _, m := range r.machines {
+				row := m.Listed
+				row.AgeS = now.Sub(m.since).Seconds()
+				l.rows = append(l.rows, row)
+			}
+			r.listings = append(r.listings, l)
+			if len(r.listings) > 60 {
+				r.listings = r.listings[1:]
+			}
+		}
+		r.mu.Unlock()
+		r.Oracle.Check()
+	}
+}
+
+func (r *Region) boot(ctx context.Context, m *rented) {
+	var typ wire.MachineType
+	for _, t := range r.types {
+		if t.Name == m.Type {
+			typ = t
+		}
+	}
+	w := &worker{r: r, name: m.ID, address: m.Address, typ: typ, zone: m.Zone, spot: m.Spot, session: 1,
+		leaseFrom: time.Now(), tasks: map[attempt]*task{}, images: map[string]bool{}, node: r.rnd.IntN(len(r.nodes))}
+	r.workers[m.ID] = w
+	r.Net.Listen(m.Address, &Host{m.ID, w, func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return !w.hung()
+	}})
+	r.wg.Go(func() { w.run(ctx) })
+}
+
+// remove takes a machine away with all that is on it.
+func (r *Region) remove(name string, keepListed bool) {
+	if w := r.workers[name]; w != nil {
+		w.gone = true
+		for k, t := range w.tasks {
+			if t.on {
+				r.Oracle.Off(k.ref, name)
+			}
+		}
+		r.Net.Listen(w.address, nil)
+		delete(r.workers, name)
+	}
+	r.machines = slices.DeleteFunc(r.machines, func(m *rented) bool {
+		if m.ID != name {
+			return false
+		}
+		if keepListed {
+			m.State = wire.MachineFailed
+			return false
+		}
+		r.capacity[m.key]++
+		return true
+	})
+}
+
+// Machines lists the machines that are up; spot only, if asked.
+func (r *Region) Machines(spotOnly bool) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []string
+	for _, m := range r.machines {
+		if r.workers[m.ID] != nil && (!spotOnly || m.Spot) {
+			out = append(out, m.ID)
+		}
+	}
+	return out
+}
+
+// Die stops a machine; it stays in the list as failed.
+func (r *Region) Die(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.remove(name, true)
+}
+
+// Take lets the cloud take a spot machine back, with or without a notice.
+func (r *Region) Take(name string, notice time.Duration) {
+	r.mu.Lock()
+	if w := r.workers[name]; w != nil && notice > 0 {
+		w.recall = time.Now().Add(notice)
+		w.changed = true
+	}
+	r.mu.Unlock()
+	r.wg.Go(func() {
+		time.Sleep(notice)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.remove(name, false)
+	})
+}
+
+// Hang stops a machine's processor for a while.
+func (r *Region) Hang(name string, d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if w := r.workers[name]; w != nil {
+		w.hungUntil = time.Now().Add(d)
+	}
+}
+
+// CloudOutage makes the cloud refuse everything until a time.
+func (r *Region) CloudOutage(until time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cloudOff = until
+}
+
+// cloud answers as the protocol says.
+func (r *Region) cloud(w http.ResponseWriter, req *http.Request) {
+	body, _ := io.ReadAll(req.Body)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	if now.Before(r.cloudOff) {
+		wire.Reply(w, http.StatusServiceUnavailable, wire.Problem{Error: "trouble"})
+		return
+	}
+	switch {
+	case req.URL.Path == "/catalog":
+		wire.Reply(w, http.StatusOK, wire.Catalog{Types: r.types})
+	case req.URL.Path == "/machines/return":
+		var f wire.Fleet
+		if wire.Decode(body, &f) != nil || len(f.Machines) > 100 {
+			wire.Reply(w, http.StatusBadRequest, nil)
+			return
+		}
+		for _, n := range f.Machines {
+			r.remove(n, false)
+		}
+		w.WriteHeader(http.StatusOK)
+	case req.URL.Path == "/machines" && req.Method == http.MethodPost:
+		r.rent(w, body, now)
+	case req.URL.Path == "/machines":
+		lag := secs(r.Set.Deployment.Cloud.ListLagS * (0.5 + r.rnd.Float64()*1.5))
+		out := wire.List{Machines: []wire.Listed{}}
+		after := req.URL.Query().Get("after")
+		for _, l := range slices.Backward(r.listings) {
+			if now.Sub(l.at) >= lag {
+				for _, m := range l.rows {
+					if m.ID > after {
+						out.Machines = append(out.Machines, m)
+					}
+				}
+				break
+			}
+		}
+		wire.Reply(w, http.StatusOK, out)
+	default:
+		wire.Reply(w, http.StatusBadRequest, nil)
+	}
+}
+
+func (r *Region) rent(w http.ResponseWriter, body []byte, now time.Time) {
+	var q wire.Rental
+	if wire.Decode(body, &q) != nil || q.Name == "" || q.Count < 1 || q.Count > 50 {
+		wire.Reply(w, http.StatusBadRequest, nil)
+		return
+	}
+	if names, ok := r.charters[q.Name]; ok {
+		for _, m := range r.machines {
+			if m.rental == q.Name && (m.Type != q.Type || m.Zone != q.Zone) {
+				r.Oracle.Note("rental name used twice: " + q.Name)
+			}
+		}
+		wire.Reply(w, http.StatusOK, wire.Fleet{Machines: names})
+		return
+	}
+	key := kindKey(q.Type, q.Zone, q.Spot)
+	n := min(q.Count, r.capacity[key])
+	if n <= 0 {
+		wire.Reply(w, http.StatusServiceUnavailable, wire.Problem{Error: "no capacity"})
+		return
+	}
+	r.capacity[key] -= n
+	names := []string{}
+	for range n {
+		id := fmt.Sprintf("vm-%06d", len(r.charters)*100+len(names)+1)
+		m := &rented{Listed: wire.Listed{ID: id, Address: strings.Replace(id, "vm-", "worker-", 1) + ":9000", Type: q.Type, Zone: q.Zone,
+			Spot: q.Spot, State: wire.MachineBooting}, rental: q.Name, key: key, since: now}
+		if r.rnd.IntN(20) > 0 { // a few never come up
+			m.up = now.Add(secs(5 * (0.6 + r.rnd.Float64())))
+		}
+		r.machines = append(r.machines, m)
+		names = append(names, id)
+	}
+	r.charters[q.Name] = names
+	wire.Reply(w, http.StatusOK, wire.Fleet{Machines: names})
+}
--- /dev/null
+++ b/internal/standin/region_test.go
@@ -0,0 +1,289 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"sableusher/internal/config"
+	"sableusher/internal/wire"
+	"sableusher/internal/world"
+)
+
+var testZones = []string{"east", "west", "north"}
+
+func testSettings(i int) *config.Settings {
+	s := &config.Settings{Node: fmt.Sprintf("node-%d", i), Zone: "east", Listen: fmt.Sprintf("10.0.0.%d:8080", i+1)}
+	for j := range 3 {
+		if j != i {
+			s.Siblings = append(s.Siblings, config.Sibling{Node: fmt.Sprintf("node-%d", j), Endpoint: fmt.Sprintf("10.0.0.%d:8081", j+1)})
+		}
+	}
+	s.Outside.State, s.Outside.Cloud = "10.2.0.1:2379", "10.2.0.2:8443"
+	d := &s.Deployment
+	d.Size, d.Zones = 3, testZones
+	d.Teams = []config.Team{{Name: "open"}, {Name: "bound", GPUs: 2, GPUsMax: 6}}
+	d.Workers.ReportS, d.Workers.LeaseS, d.Workers.CancelS = 3, 24, 44
+	d.Workers.GangWaitS, d.Workers.GangPeerS = 30, 4
+	d.State.RPS, d.State.WriteRPS, d.State.ValueKB, d.State.TxnOps = 200, 80, 16, 32
+	d.Cloud.RPS, d.Cloud.ListLagS = 8, 10
+	return s
+}
+
+var testTypes = []wire.MachineType{
+	{Name: "large", CPUs: 32, GPUs: 4, MemoryGB: 256, CacheGB: 50, FetchGBps: 1, Price: 10, SpotPrice: 4, BootS: 5, Zones: testZones},
+	{Name: "small", CPUs: 8, GPUs: 1, MemoryGB: 64, CacheGB: 50, FetchGBps: 1, Price: 3, SpotPrice: 1.2, BootS: 5, Zones: testZones[:2]},
+}
+
+// testSpec draws a job.
+func testSpec(rnd *rand.Rand, i int) (wire.Spec, float64, time.Duration) {
+	s := wire.Spec{ID: fmt.Sprintf("run-%06d", i), Class: "c", Team: []string{"open", "bound"}[rnd.IntN(2)],
+		CPUs: 4, GPUs: 1, MemoryGB: 20, Image: fmt.Sprintf("img-%d", rnd.IntN(3)), ImageGB: 2, EstimateS: 15}
+	var cancel time.Duration
+	if rnd.IntN(5) == 0 {
+		cancel = time.Duration(rnd.IntN(60)) * time.Second
+	}
+	switch rnd.IntN(3) {
+	case 0:
+		s.Kind, s.Priority, s.Tasks, s.Spot = wire.KindArray, wire.PriorityNormal, 1+rnd.IntN(6), rnd.IntN(2) == 0
+		s.OneZone = rnd.IntN(3) == 0
+		if rnd.IntN(2) == 0 {
+			s.CheckpointS, s.SaveS = 5, 2
+		}
+	case 1:
+		s.Kind, s.Priority, s.Tasks, s.CPUs, s.GPUs = wire.KindGang, wire.PriorityHigh, 1+rnd.IntN(2), 16, 2
+		s.OneZone, s.CheckpointS, s.SaveS = rnd.IntN(2) == 0, 5, 2
+	case 2:
+		s.Kind, s.Priority, s.Tasks = wire.KindService, wire.PriorityProduction, 1+rnd.IntN(3)
+		s.Spread = rnd.IntN(2) == 0
+		s.EstimateS = 0
+		cancel = time.Duration(60+rnd.IntN(200)) * time.Second
+	}
+	if rnd.IntN(8) == 0 && !s.Spread {
+		s.Zone = testZones[rnd.IntN(2)]
+	}
+	if rnd.IntN(8) == 0 {
+		s.Types = []string{"large"}
+	}
+	return s, float64(5 + rnd.IntN(30)), cancel
+}
+
+// fault lets one trouble happen.
+func fault(r *Region, rnd *rand.Rand) string {
+	d := time.Duration(5+rnd.IntN(25)) * time.Second
+	until := time.Now().Add(d)
+	n := rnd.IntN(r.Nodes())
+	hold := rnd.IntN(2) == 0
+	one := func(spot bool) string {
+		if ms := r.Machines(spot); len(ms) > 0 {
+			return ms[rnd.IntN(len(ms))]
+		}
+		return ""
+	}
+	restart := func(i int) {
+		r.Kill(i)
+		r.wg.Go(func() {
+			time.Sleep(5 * time.Second)
+			r.Start(i)
+		})
+	}
+	name := r.nodes[n].Set.Node
+	kind := rnd.IntN(12)
+	switch kind {
+	case 0:
+		restart(n)
+		time.Sleep(7 * time.Second)
+	case 1:
+		for i := range r.Nodes() {
+			restart(i)
+		}
+		time.Sleep(7 * time.Second)
+	case 2:
+		r.State.Outage(until)
+	case 3:
+		r.State.Refuse(name, until)
+	case 4:
+		r.Net.Cut(Cut{name, "state", hold, until})
+	case 5:
+		r.Net.Cut(Cut{name, "*", hold, until})
+	case 6:
+		for _, m := range r.Machines(false) {
+			r.Net.Cut(Cut{name, m, hold, until})
+		}
+	case 7:
+		if m := one(false); m != "" {
+			r.Die(m)
+		}
+	case 8:
+		if m := one(false); m != "" {
+			r.Hang(m, d+10*time.Second)
+		}
+	case 9:
+		if m := one(false); m != "" {
+			r.Net.Cut(Cut{m, "*", hold, until})
+		}
+	case 10:
+		for _, m := range r.Machines(true) {
+			if rnd.IntN(2) == 0 {
+				r.Take(m, time.Duration(rnd.IntN(2)*8)*time.Second)
+			}
+		}
+	case 11:
+		r.CloudOutage(until)
+	}
+	return fmt.Sprintf("%d on %s for %v hold=%v", kind, name, d, hold)
+}
+
+// play runs a day of generated jobs and troubles and gives what broke.
+func play(t *testing.T, seed uint64, troubles int) *Region {
+	rnd := rand.New(rand.NewPCG(seed, 7))
+	ctx, cancel := context.WithCancel(context.Background())
+	var out io.Writer = io.Discard
+	if os.Getenv("STANDIN_LOG") != "" {
+		out = os.Stderr
+	}
+	log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	r := NewRegion(ctx, testSettings(0), testTypes, 5, rand.New(rand.NewPCG(seed, 8)), log)
+	for i := range 3 {
+		r.Add(testSettings(i))
+	}
+	r.wg.Go(func() { r.Stranger(ctx) })
+	for i := range 30 {
+		spec, run, stop := testSpec(rnd, i+1)
+		at := time.Duration(rnd.IntN(200)) * time.Second
+		r.wg.Go(func() {
+			time.Sleep(at)
+			r.User(ctx, spec, run, stop)
+		})
+	}
+	time.Sleep(20 * time.Second)
+	for range troubles {
+		time.Sleep(time.Duration(1+rnd.IntN(25)) * time.Second)
+		what := fault(r, rnd)
+		log.Info("TROUBLE", "what", what)
+	}
+	for range 90 { // time to finish all
+		time.Sleep(5 * time.Second)
+		if len(r.Oracle.Unfinished()) == 0 {
+			break
+		}
+	}
+	time.Sleep(60 * time.Second)
+	cancel()
+	r.Wait()
+	time.Sleep(3 * time.Minute) // requests still on their way
+	return r
+}
+
+// TestRulesUnderTroubles drives three controllers through generated days and
+// checks every rule of the protocol.
+func TestRulesUnderTroubles(t *testing.T) {
+	days := 8
+	if testing.Short() {
+		days = 2
+	}
+	for seed := range uint64(days) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := play(t, seed+1, 10)
+				if len(r.Oracle.Broken) > 0 {
+					t.Errorf("broken rules:\n%s", strings.Join(r.Oracle.Broken, "\n"))
+				}
+				if len(r.State.Broken) > 0 {
+					t.Errorf("requests over the state service's limits:\n%s", strings.Join(r.State.Broken, "\n"))
+				}
+				if left := r.Oracle.Unfinished(); len(left) > 0 {
+					t.Errorf("never finished: %v", left)
+				}
+				if r.Oracle.Starts < 20 {
+					t.Errorf("only %d tasks started", r.Oracle.Starts)
+				}
+			})
+		})
+	}
+}
+
+// TestOracleSeesEachRule plays one small defect for each rule: an oracle that
+// can't fail would prove nothing.
+func TestOracleSeesEachRule(t *testing.T) {
+	at := func(m, typ, zone string, spot bool) Place { return Place{m, typ, zone, spot} }
+	ref := func(i int) world.TaskRef { return world.TaskRef{Job: "run-1", Index: i} }
+	base := wire.Spec{ID: "run-1", Team: "bound", Kind: wire.KindArray, Tasks: 8, GPUs: 1}
+	defects := map[string][]struct {
+		name string
+		spec func(*wire.Spec)
+		do   func(o *Oracle)
+	}{
+		"ran_twice": {{"two machines", nil, func(o *Oracle) {
+			o.On(ref(0), at("a", "large", "east", false))
+			o.On(ref(0), at("b", "large", "east", false))
+		}}},
+		"quota": {{"seven of six", nil, func(o *Oracle) {
+			for i := range 7 {
+				o.On(ref(i), at("a", "large", "east", false))
+			}
+		}}},
+		"wrong_place": {
+			{"spot", nil, func(o *Oracle) { o.On(ref(0), at("a", "large", "east", true)) }},
+			{"zone", func(s *wire.Spec) { s.Zone = "west" }, func(o *Oracle) { o.On(ref(0), at("a", "large", "east", false)) }},
+			{"type", func(s *wire.Spec) { s.Types = []string{"small"} }, func(o *Oracle) { o.On(ref(0), at("a", "large", "east", false)) }},
+			{"two zones", func(s *wire.Spec) { s.OneZone = true }, func(o *Oracle) {
+				o.On(ref(0), at("a", "large", "east", false))
+				o.On(ref(1), at("b", "large", "west", false))
+			}},
+			{"not spread", func(s *wire.Spec) { s.Spread, s.Tasks = true, 2 }, func(o *Oracle) {
+				o.On(ref(0), at("a", "large", "east", false))
+				o.On(ref(1), at("b", "large", "east", false))
+			}},
+		},
+		"ran_cancelled": {{"late", nil, func(o *Oracle) {
+			o.On(ref(0), at("a", "large", "east", false))
+			o.Cancelling("run-1")
+			o.Answer("run-1", 200, wire.JobCancelled)
+			time.Sleep(45 * time.Second)
+			o.Check()
+		}}},
+		"forgotten": {{"404", nil, func(o *Oracle) {
+			o.Answer("run-1", 201, wire.JobPending)
+			o.Answer("run-1", 404, "")
+		}}},
+		"invented": {{"200", nil, func(o *Oracle) { o.Answer("run-2", 200, wire.JobPending) }}},
+		"not_done": {{"early", nil, func(o *Oracle) {
+			o.Completed(ref(0))
+			o.Answer("run-1", 200, wire.JobDone)
+		}}},
+		"went_back": {
+			{"pending again", func(s *wire.Spec) { s.Tasks = 1 }, func(o *Oracle) {
+				o.Completed(ref(0))
+				o.Answer("run-1", 200, wire.JobDone)
+				o.Answer("run-1", 200, wire.JobPending)
+			}},
+			{"cancelled by nobody", nil, func(o *Oracle) { o.Answer("run-1", 200, wire.JobCancelled) }},
+		},
+	}
+	for rule, list := range defects {
+		for _, d := range list {
+			t.Run(rule+" "+d.name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					o := NewOracle(testSettings(0))
+					s := base
+					if d.spec != nil {
+						d.spec(&s)
+					}
+					o.Submitted(s)
+					d.do(o)
+					if len(o.Broken) == 0 || !strings.HasPrefix(o.Broken[0], rule+":") {
+						t.Errorf("want %s, got %v", rule, o.Broken)
+					}
+				})
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/user.go
@@ -0,0 +1,78 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"sableusher/internal/wire"
+)
+
+// call sends one user's request to a node and gives status and state.
+func (r *Region) call(ctx context.Context, method, path string, body []byte, timeout time.Duration) (int, string) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	r.mu.Lock()
+	n := r.nodes[r.rnd.IntN(len(r.nodes))]
+	r.mu.Unlock()
+	req, _ := http.NewRequestWithContext(ctx, method, "http://"+n.Address+path, bytes.NewReader(body))
+	resp, err := r.Net.From("users", func() bool { return true }).RoundTrip(req)
+	if err != nil {
+		return 0, ""
+	}
+	b, _ := io.ReadAll(resp.Body)
+	var st wire.Status
+	_ = wire.Decode(b, &st)
+	return resp.StatusCode, st.Status
+}
+
+// User plays one job's user: submits, polls until it is over, cancels at a time
+// if that is not zero, and asks again now and then.
+func (r *Region) User(ctx context.Context, spec wire.Spec, runS float64, cancelAfter time.Duration) {
+	r.Running(spec.ID, runS)
+	r.Oracle.Submitted(spec)
+	body := wire.MustEncode(spec)
+	start := time.Now()
+	submit := func() bool {
+		status, state := r.call(ctx, http.MethodPost, "/v1/jobs", body, 5*time.Second)
+		r.Oracle.Answer(spec.ID, status, state)
+		return status == 200 || status == 201
+	}
+	for !submit() {
+		time.Sleep(time.Second)
+		if ctx.Err() != nil || time.Since(start) > 60*time.Second {
+			return
+		}
+	}
+	again := time.Now().Add(20 * time.Second)
+	cancelled := false
+	for ctx.Err() == nil {
+		time.Sleep(5 * time.Second)
+		if cancelAfter > 0 && time.Since(start) > cancelAfter && !cancelled {
+			r.Oracle.Cancelling(spec.ID)
+			status, state := r.call(ctx, http.MethodPost, "/v1/jobs/"+spec.ID+"/abort", nil, 5*time.Second)
+			r.Oracle.Answer(spec.ID, status, state)
+			cancelled = status == 200
+			continue
+		}
+		if time.Now().After(again) {
+			again = time.Now().Add(40 * time.Second)
+			submit() // a late retry of an accepted submission
+		}
+		status, state := r.call(ctx, http.MethodGet, "/v1/jobs/"+spec.ID, nil, 2*time.Second)
+		r.Oracle.Answer(spec.ID, status, state)
+	}
+}
+
+// Stranger asks about jobs that nobody submitted.
+func (r *Region) Stranger(ctx context.Context) {
+	for i := 0; ctx.Err() == nil; i++ {
+		time.Sleep(7 * time.Second)
+		id := fmt.Sprintf("run-9%05d", i)
+		status, state := r.call(ctx, http.MethodGet, "/v1/jobs/"+id, nil, 2*time.Second)
+		r.Oracle.Answer(id, status, state)
+	}
+}
--- a/internal/store/cache.go
+++ b/internal/store/cache.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -33,10 +34,15 @@
 	mu      sync.Mutex
 	ready   bool
 	rev     uint64
-	fresh   time.Time
 	stamps  map[string]uint64
 	dropped map[string]uint64 // our own drops that the watch has not shown yet
 
+	// What readers ask while they hold the sink's lock: they must not wait for
+	// mu, whose holder may be waiting for that lock. Both change only within a
+	// group of the sink.
+	reached atomic.Uint64
+	fresh   atomic.Pointer[time.Time]
+
 	bmu  sync.Mutex
 	next *barrier
 	wake chan struct{}
@@ -132,8 +138,9 @@
 		}
 	}
 	c.ready = true
-	if asked.After(c.fresh) {
-		c.fresh = asked
+	c.reached.Store(c.rev)
+	if f := c.fresh.Load(); f == nil || asked.After(*f) {
+		c.fresh.Store(&asked)
 	}
 }
 
@@ -271,20 +278,14 @@
 // Fresh is the time as of which the cache is known to be complete; zero before
 // the first answer.
 func (c *Cache) Fresh() time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.ready {
-		return time.Time{}
+	if f := c.fresh.Load(); f != nil {
+		return *f
 	}
-	return c.fresh
+	return time.Time{}
 }
 
 // Revision is the revision up to which every change is held.
-func (c *Cache) Revision() uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.rev
-}
+func (c *Cache) Revision() uint64 { return c.reached.Load() }
 
 func sleep(ctx context.Context, d time.Duration) {
 	select {
