--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,93 @@
+package config
+
+import (
+	"strings"
+	"testing"
+)
+
+const good = `
+node_name = "n0"
+area = "a"
+listen = "10.0.0.1:8080"
+back = "10.0.0.1:8081"
+of_later = 1
+[[siblings]]
+node_name = "n1"
+area = "b"
+endpoint = "10.0.0.2:8081"
+[outside]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[deployment]
+size = 2
+zones = ["a", "b"]
+time_bound_ms = 25.0
+[[deployment.teams]]
+name = "t"
+gpus = 2.0
+gpus_max = 4.0
+[deployment.workers]
+report_s = 3.0
+lease_s = 24.0
+gang_wait_s = 50.0
+gang_peer_s = 5.0
+cancel_s = 44.0
+[deployment.state]
+rps = 200.0
+write_rps = 80.0
+value_kb = 16.0
+txn_ops = 32
+[deployment.cloud]
+rps = 10.0
+list_lag_s = 10.0
+[deployment.machine_limits]
+cpu_share = 0.24
+mem_mb = 179.0
+max_sockets = 1200
+`
+
+func TestSettings(t *testing.T) {
+	s, err := Parse([]byte(good))
+	if err != nil || s.Deployment.Teams[0].GPUsMax != 4 || s.Nodes()[1] != "n1" {
+		t.Fatalf("%+v, %v", s, err)
+	}
+	for _, c := range [][2]string{
+		{`node_name = "n0"`, `node_name`}, {`listen = "10.0.0.1:8080"`, "listen"}, {`state = "10.2.0.1:2379"`, "outside.state"},
+		{`size = 2`, "deployment.size"}, {`cancel_s = 44.0`, "cancel_s"}, {`rps = 200.0`, "state.rps"}, {`mem_mb = 179.0`, "mem_mb"},
+	} {
+		if _, err := Parse([]byte(strings.Replace(good, c[0], "", 1))); err == nil || !strings.Contains(err.Error(), c[1]) {
+			t.Errorf("without %s: %v", c[0], err)
+		}
+	}
+	for from, to := range map[string]string{"cancel_s = 44.0": "cancel_s = 20.0", "write_rps = 80.0": "write_rps = nan", `node_name = "n1"`: `node_name = "n0"`} {
+		if _, err := Parse([]byte(strings.Replace(good, from, to, 1))); err == nil {
+			t.Errorf("%s was taken", to)
+		}
+	}
+}
+
+func TestOperator(t *testing.T) {
+	op, err := LoadOperator("")
+	if err != nil || op.Lambda != 0.7 || op.PoolMin != 2 {
+		t.Fatalf("%+v, %v", op, err)
+	}
+	got, err := ParseOperator([]byte("<sableusher><lambda>0.25</lambda></sableusher>"), op)
+	if err != nil || got.Lambda != 0.25 || got.Exploration != op.Exploration {
+		t.Fatalf("%+v, %v", got, err)
+	}
+	for doc, name := range map[string]string{
+		"<sableusher><lamda>1</lamda></sableusher>":                     "lamda",
+		"<sableusher><lambda>1.5</lambda></sableusher>":                 "lambda",
+		"<sableusher><lambda>NaN</lambda></sableusher>":                 "lambda",
+		"<sableusher><lambda>1</lambda><lambda>1</lambda></sableusher>": "lambda",
+		"<sableusher><lambda x='1'>1</lambda></sableusher>":             "lambda",
+		"<other/>":             "other",
+		"":                     "sableusher",
+		"<sableusher><lambda>": "",
+		"<sableusher><pool-minimum>two</pool-minimum></sableusher>": "",
+	} {
+		if _, err := ParseOperator([]byte(doc), op); err == nil || !strings.Contains(err.Error(), name) {
+			t.Errorf("%q: %v", doc, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/machine_test.go
@@ -0,0 +1,95 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"sableusher/internal/wire"
+	"sableusher/internal/world"
+)
+
+func report(session, seq, token uint64, tasks ...wire.TaskReport) *wire.Report {
+	return &wire.Report{Machine: "m", Session: session, Seq: seq, Token: token, Tasks: tasks}
+}
+
+func bound(session uint64) (map[world.TaskRef]world.Binding, world.Binding) {
+	b := world.Binding{Ref: world.TaskRef{Job: "run-1"}, Job: &world.Job{}, Attempt: 1, Session: session}
+	return map[world.TaskRef]world.Binding{b.Ref: b}, b
+}
+
+func always(world.TaskRef, uint64) bool { return true }
+
+func never(world.Binding) (Wish, bool) { return Wish{}, false }
+
+// TestStartInDoubt: a direct start without an answer may arrive minutes later.
+// Until it is fenced the task counts as there, and its exit is not forgotten.
+func TestStartInDoubt(t *testing.T) {
+	now := time.Unix(100, 0)
+	for name, fence := range map[string]*wire.Report{"higher token": report(1, 9, 6), "new session": report(2, 1, 0)} {
+		t.Run(name, func(t *testing.T) {
+			m := newMachine("m")
+			m.observe(report(1, 1, 5), true, now)
+			set, b := bound(1)
+			sent := m.orders(set, always, never, 5, 0, now)
+			if len(sent) != 1 || sent[0].Op != wire.OpStart {
+				t.Fatalf("orders %+v", sent)
+			}
+			m.answered(sent, 1, 5, false)
+			m.observe(report(1, 2, 5), true, now)
+			if f, _ := m.fate(b, 5); f != Unclear {
+				t.Fatalf("fate %v while the start is in doubt", f)
+			}
+			exited := wire.TaskReport{Task: "run-1/0", Attempt: 1, State: wire.TaskExited, Cause: wire.CauseDone}
+			m.observe(report(1, 3, 5, exited), true, now)
+			if o := m.orders(nil, always, never, 5, 3, now); len(o) != 0 {
+				t.Fatalf("forgotten while the start is in doubt: %+v", o)
+			}
+			m.observe(fence, true, now)
+			if m.mayStart(key{b.Ref, 1}) {
+				t.Fatal("still in doubt after the fence")
+			}
+		})
+	}
+}
+
+// TestAnswerSettlesStarts: starts in the answer to a report are settled by the
+// worker's next report, not by an answer to a direct command.
+func TestAnswerSettlesStarts(t *testing.T) {
+	now := time.Unix(100, 0)
+	m := newMachine("m")
+	m.observe(report(1, 1, 5), true, now)
+	set, b := bound(1)
+	m.orders(set, always, never, 5, 1, now)
+	m.observe(report(1, 2, 5), false, now)
+	if f, _ := m.fate(b, 5); f != Unclear {
+		t.Fatalf("fate %v while the answer may still be carried out", f)
+	}
+	m.observe(report(1, 3, 5), true, now)
+	if f, _ := m.fate(b, 5); f != Absent {
+		t.Fatalf("fate %v after the next report", f)
+	}
+	if f, _ := m.fate(b, 6); f != Unclear {
+		t.Fatalf("fate %v though earlier owners are not fenced", f)
+	}
+}
+
+// TestLateReports: an older report never changes what is known.
+func TestLateReports(t *testing.T) {
+	now := time.Unix(100, 0)
+	m := newMachine("m")
+	running := wire.TaskReport{Task: "run-1/0", Attempt: 1, State: wire.TaskRunning}
+	m.observe(report(2, 7, 5, running), true, now)
+	for _, old := range []*wire.Report{report(2, 7, 5), report(2, 6, 9), report(1, 99, 9)} {
+		if m.observe(old, true, now.Add(time.Second)) || !m.heard.Equal(now) {
+			t.Fatalf("took %+v", old)
+		}
+	}
+	_, b := bound(2)
+	if f, _ := m.fate(b, 5); f != Alive {
+		t.Fatalf("fate %v", f)
+	}
+	_, b = bound(1)
+	if f, _ := m.fate(b, 5); f != Lost {
+		t.Fatalf("fate %v of a binding of an ended session", f)
+	}
+}
--- /dev/null
+++ b/internal/store/cache_test.go
@@ -0,0 +1,133 @@
+package store
+
+import (
+	"io"
+	"log/slog"
+	"maps"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sableusher/internal/wire"
+)
+
+// mapSink keeps what the cache tells.
+type mapSink map[string]string
+
+func (m mapSink) Begin()                               {}
+func (m mapSink) Flush()                               {}
+func (m mapSink) Put(key string, v wire.Raw, _ uint64) { m[key] = string(v) }
+func (m mapSink) Drop(key string)                      { delete(m, key) }
+
+// TestCacheFollowsHistory applies overlapping watch answers and our own writes
+// in generated orders. The cache must never show a key that was dropped at or
+// below its revision: a late answer once brought a finished job back to life.
+func TestCacheFollowsHistory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type change struct {
+			key  string
+			drop bool
+		}
+		var log []wire.Event
+		states := []map[string]string{{}}
+		n := rapid.IntRange(1, 30).Draw(t, "changes")
+		for i := range n {
+			c := change{rapid.SampledFrom([]string{"s/a", "s/b", "s/c"}).Draw(t, "key"), rapid.Bool().Draw(t, "drop")}
+			rev := uint64(i + 1)
+			next := maps.Clone(states[i])
+			if c.drop {
+				if _, ok := next[c.key]; ok {
+					delete(next, c.key)
+					log = append(log, wire.Event{Drop: c.key, Stamp: rev})
+				}
+			} else {
+				v := wire.MustEncode(i)
+				next[c.key] = string(v)
+				log = append(log, wire.Event{Set: c.key, Value: v, Stamp: rev})
+			}
+			states = append(states, next)
+		}
+		sink := mapSink{}
+		c := NewCache(NewClient("127.0.0.1:1", Limits{RPS: 1, WriteRPS: 1, TxnOps: 1}, nil), "s/", sink, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		var local []uint64
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "own") && len(log) > 0 {
+				e := rapid.SampledFrom(log).Draw(t, "write")
+				c.Local([]wire.Op{{Set: e.Set, Value: e.Value, Drop: e.Drop}}, e.Stamp)
+				local = append(local, e.Stamp)
+			} else {
+				after := rapid.Uint64Range(0, c.rev).Draw(t, "after")
+				upTo := rapid.Uint64Range(after, uint64(n)).Draw(t, "upto")
+				news := wire.News{Revision: upTo}
+				for _, e := range log {
+					if e.Stamp > after && e.Stamp <= upTo {
+						news.Events = append(news.Events, e)
+					}
+				}
+				c.apply(after, news, time.Now())
+			}
+			// Keys that no write of ours runs ahead on must show the state at the revision.
+			ahead := map[string]bool{}
+			for _, e := range log {
+				for _, l := range local {
+					if e.Stamp == l && e.Stamp > c.rev {
+						ahead[e.Set+e.Drop] = true
+					}
+				}
+			}
+			for _, k := range []string{"s/a", "s/b", "s/c"} {
+				if want := states[c.rev][k]; !ahead[k] && sink[k] != want {
+					t.Fatalf("revision %d: %s is %q, want %q", c.rev, k, sink[k], want)
+				}
+			}
+		}
+	})
+}
+
+// TestBatchesKeepKeysApart checks that one transaction never touches a key twice
+// and stays within the limits, whatever is queued.
+func TestBatchesKeepKeysApart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := NewCommitter(NewClient("127.0.0.1:1", Limits{RPS: 1, WriteRPS: 1, TxnOps: 8}, nil), func([]wire.Op, uint64) {})
+		n := rapid.IntRange(1, 40).Draw(t, "items")
+		for range n {
+			it := Item{}
+			for _, k := range rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b", "c", "d", "e", "f"}), 1, 3, rapid.ID).Draw(t, "keys") {
+				it.Ops = append(it.Ops, Set(k, 1))
+				it.Guards = append(it.Guards, wire.Guard{Key: k, Stamp: rapid.Uint64Range(0, 2).Draw(t, "stamp")})
+			}
+			c.queue = append(c.queue, &pending{Item: it})
+		}
+		left := n
+		for len(c.queue) > 0 {
+			batch := c.take()
+			if len(batch) == 0 {
+				t.Fatal("an empty batch would stall the queue")
+			}
+			left -= len(batch)
+			keys, ops, guards := map[string]bool{}, 0, map[string]uint64{}
+			for _, p := range batch {
+				for _, o := range p.Ops {
+					if keys[o.Key()] {
+						t.Fatalf("key %s twice in one transaction", o.Key())
+					}
+					keys[o.Key()] = true
+					ops++
+				}
+				for _, g := range p.Guards {
+					if s, ok := guards[g.Key]; ok && s != g.Stamp {
+						t.Fatalf("guards of one transaction contradict each other")
+					}
+					guards[g.Key] = g.Stamp
+				}
+			}
+			if ops > 8 {
+				t.Fatalf("%d ops", ops)
+			}
+		}
+		if left != 0 {
+			t.Fatalf("%d items lost", left)
+		}
+	})
+}
