Pool: the step covers one standard deviation of a boot time's arrivals

Cause: arrays that found no room waited a whole boot; one spare machine is too little where a boot takes long.

--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -36,6 +36,7 @@
 type Demand struct {
 	Groups []Group
 	Idle   []string // machines, up or booting, that no task uses or waits for
+	Room   float64  // free room of all machines, in machines
 	At     time.Time
 }
 
@@ -212,6 +213,7 @@
 		r.placeJob(du, nodes, total, &d)
 	}
 	for _, n := range nodes {
+		d.Room += share(n.free, world.Capacity(&n.typ))
 		if len(n.m.Bound) == 0 && n.kept == "" && n.free == world.Capacity(&n.typ) {
 			d.Idle = append(d.Idle, n.m.Name)
 		}
@@ -297,6 +299,17 @@
 	return out
 }
 
+// share is the scarcest part of a machine that is free.
+func share(free, capacity world.Amount) float64 {
+	s := 1.0
+	for _, d := range [][2]float64{{free.CPUs, capacity.CPUs}, {free.GPUs, capacity.GPUs}, {free.Mem, capacity.Mem}} {
+		if d[1] > 0 {
+			s = min(s, d[0]/d[1])
+		}
+	}
+	return max(s, 0)
+}
+
 // fits is how many times need goes into free.
 func fits(need, free world.Amount) int {
 	c := math.MaxInt32
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -38,6 +39,13 @@
 	idle    map[string]time.Time
 	unknown map[string]time.Time
 	listed  time.Time
+	arrived map[string]arrival
+}
+
+// arrival is a job that came lately and the room it takes.
+type arrival struct {
+	at   time.Time
+	room float64
 }
 
 // kind is what a rental asks for.
@@ -49,7 +57,7 @@
 // New makes a pool.
 func New(set *config.Settings, op *config.Operator, w *world.World, m *member.Member, e *place.Engine, c *Cloud, commit *store.Committer, log *slog.Logger) *Pool {
 	return &Pool{set: set, op: op, world: w, member: m, engine: e, cloud: c, commit: commit, log: log,
-		refused: map[kind]time.Time{}, idle: map[string]time.Time{}, unknown: map[string]time.Time{}}
+		refused: map[kind]time.Time{}, idle: map[string]time.Time{}, unknown: map[string]time.Time{}, arrived: map[string]arrival{}}
 }
 
 // Run keeps the fleet until ctx ends.
@@ -224,7 +232,7 @@
 			}
 		}
 	}
-	spare := p.op.PoolStep - len(d.Idle)
+	spare := int(math.Ceil(p.step(now) - d.Room - 0.5))
 	for range max(spare, p.op.PoolMin-total-len(out)) {
 		if open(&wire.Spec{}, "", func(string) bool { return true }) == nil {
 			break
@@ -233,6 +241,54 @@
 	return out
 }
 
+// step is the room to keep above what is booked, in machines: what arrives in
+// one boot time varies by its standard deviation, seen over a window of past
+// arrivals. Callers hold the world's lock.
+func (p *Pool) step(now time.Time) float64 {
+	for id, j := range p.world.Jobs {
+		if _, ok := p.arrived[id]; ok || !j.Known {
+			continue
+		}
+		at := time.UnixMilli(j.AtMs)
+		if now.Sub(at) > tuning.ArrivalWindow {
+			continue
+		}
+		p.arrived[id] = arrival{at, p.roomOf(&j.Spec)}
+	}
+	square := 0.0
+	for id, a := range p.arrived {
+		if now.Sub(a.at) > tuning.ArrivalWindow {
+			delete(p.arrived, id)
+			continue
+		}
+		square += a.room * a.room
+	}
+	boot := 0.0
+	for _, t := range p.world.Types {
+		boot = max(boot, t.BootS)
+	}
+	deviation := math.Sqrt(square * boot / tuning.ArrivalWindow.Seconds())
+	return max(float64(p.op.PoolStep), tuning.StepDeviations*deviation)
+}
+
+// roomOf is what a job takes, in machines of the largest type.
+func (p *Pool) roomOf(s *wire.Spec) float64 {
+	best := math.Inf(1)
+	for _, t := range p.world.Types {
+		r := 0.0
+		for _, d := range [][2]float64{{s.CPUs, t.CPUs}, {s.GPUs, t.GPUs}, {s.MemoryGB, t.MemoryGB}} {
+			if d[1] > 0 {
+				r = max(r, d[0]/d[1])
+			}
+		}
+		best = min(best, r)
+	}
+	if math.IsInf(best, 1) {
+		return 0
+	}
+	return best * float64(s.Tasks)
+}
+
 // choose picks the cheapest kind for a task, in the allowed zone with the
 // fewest machines, leaving out what was refused lately.
 func (p *Pool) choose(s *wire.Spec, zone string, held map[string]int, now time.Time, also func(string) bool) (kind, bool) {
@@ -349,10 +405,10 @@
 		}
 	}
 	var items []store.Item
-	left := len(names) - p.op.PoolStep
+	left := d.Room - p.step(now)
 	for _, n := range names {
 		m := p.world.Machines[n]
-		if left <= 0 || total <= p.op.PoolMin {
+		if left < 1 || total <= p.op.PoolMin {
 			break
 		}
 		if m == nil || !m.Up || now.Sub(p.idle[n]) < config.Seconds(p.op.PoolHoldS) {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -174,12 +174,11 @@
 const (
 	// PoolTick is the interval at which the fleet's size is reviewed.
 	PoolTick = 500 * time.Millisecond
-	// PoolMin is the smallest fleet (ours), in machines.
-	PoolMin = 2
-	// PoolStep is the room kept above the booked room (ours), in machines.
-	PoolStep = 1
-	// PoolHold is how long a size is kept before the fleet shrinks (ours).
-	PoolHold = 20 * time.Second
+	// ArrivalWindow is the past over which arrivals are watched for the step.
+	ArrivalWindow = 3 * time.Minute
+	// StepDeviations is how many standard deviations of the arrivals of one boot
+	// time the step covers.
+	StepDeviations = 1.0
 	// RentMax is the most machines one request may ask for.
 	RentMax = 50
 	// RefusedHold is the pause after a type, zone and kind was refused.
@@ -198,8 +197,6 @@
 	CatalogEvery = 60 * time.Second
 	// ReturnMax is the most machines one return may name.
 	ReturnMax = 100
-	// IdleReturn is how long a machine stands idle before it may be returned.
-	IdleReturn = 20 * time.Second
 )
 
 // Process.
