--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -262,7 +262,9 @@
 	if m.session != 0 {
 		cmd.Orders = append(cmd.Orders, m.orders(rec.Bound, f.known, f.wish, token, 0, time.Now())...)
 	}
-	if len(cmd.Orders) == 0 && m.token == token {
+	// A worker that is overdue is asked whether it is there at all.
+	overdue := time.Since(m.heard) > time.Duration(tuning.ProbeAfter*float64(f.set.Report()))
+	if len(cmd.Orders) == 0 && m.token == token && !overdue {
 		f.mu.Unlock()
 		f.world.RUnlock()
 		return
--- a/internal/place/settle.go
+++ b/internal/place/settle.go
@@ -413,6 +413,7 @@
 // machinesDue deletes machines that are silent, stuck, drained or failing.
 func (r *round) machinesDue() {
 	deadAfter := time.Duration(tuning.DeadAfter * float64(r.set.Report()))
+	probeAfter := time.Duration(tuning.ProbeAfter * float64(r.set.Report()))
 	var silent, up int
 	type due struct {
 		m    *world.Machine
@@ -442,6 +443,8 @@
 			if age > stuck && typ.Name != "" {
 				list = append(list, due{m, "never came up", false})
 			}
+		case r.now.Sub(last) > probeAfter && r.now.Sub(last) <= deadAfter:
+			r.fleet.Kick(name)
 		case r.now.Sub(last) > deadAfter:
 			silent++
 			list = append(list, due{m, fmt.Sprintf("silent for %v", r.now.Sub(last).Round(time.Second)), true})
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -119,7 +119,10 @@
 	// before its machine counts as unreachable.
 	SilentAfter = 2.2
 	// DeadAfter is how long a machine may be silent before it is deleted, in report intervals.
-	DeadAfter = 5.0
+	// It covers two lost reports and the direct question that follows them.
+	DeadAfter = 3.0
+	// ProbeAfter is the silence, in report intervals, after which a worker is asked directly.
+	ProbeAfter = 1.6
 	// DeadCap is the largest fraction of a node's machines (at least two) that
 	// may be deleted for silence in DeadWindow.
 	DeadCap = 0.15
