--- /dev/null
+++ b/internal/learn/learn_test.go
@@ -0,0 +1,165 @@
+package learn
+
+import (
+	"io"
+	"log/slog"
+	"math"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"sableusher/internal/tuning"
+)
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+func drawChoice(t *rapid.T) (*State, *Action) {
+	f := rapid.Float64()
+	s := &State{RunningS: f.Draw(t, "running"), NextFreeS: f.Draw(t, "next"), BacklogS: f.Draw(t, "backlog"), Idle: f.Draw(t, "idle"),
+		Shares: rapid.MapOf(rapid.String(), f).Draw(t, "shares")}
+	a := &Action{Class: rapid.String().Draw(t, "class"), Team: rapid.String().Draw(t, "team"), RunS: f.Draw(t, "run"),
+		Interactive: rapid.Bool().Draw(t, "interactive"), Size: rapid.Bool().Draw(t, "size"), Fraction: f.Draw(t, "fraction"), Machines: f.Draw(t, "machines")}
+	return s, a
+}
+
+// TestInputsAreBounded: whatever is observed, the encoding has its width and
+// every entry lies within 0 and 1.
+func TestInputsAreBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		u := encode(drawChoice(t))
+		if len(u) != inputWidth {
+			t.Fatalf("width %d", len(u))
+		}
+		for i, v := range u {
+			if !(v >= 0 && v <= 1) {
+				t.Fatalf("input %d is %v", i, v)
+			}
+		}
+	})
+}
+
+// TestReservoirForgets: two memories under the same inputs become the same.
+func TestReservoirForgets(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := newReservoir(rapid.Uint64().Draw(t, "seed"))
+		a, b := make([]float64, tuning.ReservoirUnits), make([]float64, tuning.ReservoirUnits)
+		for i := range b {
+			b[i] = 1
+		}
+		s, act := drawChoice(t)
+		u := encode(s, act)
+		for range 60 {
+			a, b = r.step(a, u), r.step(b, u)
+		}
+		for i := range a {
+			if math.Abs(a[i]-b[i]) > 1e-3 {
+				t.Fatalf("unit %d still remembers: %v and %v", i, a[i], b[i])
+			}
+		}
+	})
+}
+
+// TestScoringLeavesNoTrace: only the action that is taken moves the memory.
+func TestScoringLeavesNoTrace(t *testing.T) {
+	l := New(0.2, 0.8, 0, 0, 1, quiet)
+	s, a := &State{Idle: 3}, &Action{Class: "x", RunS: 10}
+	before := append([]float64(nil), l.memory...)
+	c := l.Score(s, a)
+	for i := range before {
+		if l.memory[i] != before[i] {
+			t.Fatal("scoring moved the memory")
+		}
+	}
+	l.Take(c)
+	moved := false
+	for i := range before {
+		moved = moved || l.memory[i] != before[i]
+	}
+	if !moved {
+		t.Fatal("taking did not move the memory")
+	}
+}
+
+// TestLearnsWhatPays: of two classes the one that pays gets the higher value.
+func TestLearnsWhatPays(t *testing.T) {
+	l := New(0.2, 0.8, 0.05, 10, 1, quiet)
+	s := &State{}
+	classes := map[string]float64{"pays": 1, "costs": 0}
+	for round := range 40 {
+		for range 20 {
+			for c, r := range classes {
+				l.Pay(l.Take(l.Score(s, &Action{Class: c, RunS: 10})), r)
+			}
+		}
+		if err := l.Refit(); err != nil {
+			t.Fatalf("round %d: %v", round, err)
+		}
+	}
+	good, bad := l.Score(s, &Action{Class: "pays", RunS: 10}).Value, l.Score(s, &Action{Class: "costs", RunS: 10}).Value
+	if good <= bad+0.1 || !l.Warm() {
+		t.Fatalf("values %v and %v", good, bad)
+	}
+}
+
+// TestBadFitsKeepWeights: a sample that is not finite must not spoil the values.
+func TestBadFitsKeepWeights(t *testing.T) {
+	l := New(0.2, 0.8, 0, 0, 1, quiet)
+	for range 100 {
+		l.Pay(l.Take(l.Score(&State{}, &Action{Class: "a"})), 0.5)
+	}
+	if err := l.Refit(); err != nil {
+		t.Fatal(err)
+	}
+	want := l.Score(&State{}, &Action{Class: "a"}).Value
+	l.samples[0].target = math.NaN()
+	if err := l.Refit(); err == nil {
+		t.Fatal("a fit to NaN was taken")
+	}
+	if got := l.Score(&State{}, &Action{Class: "a"}).Value; got != want {
+		t.Fatalf("value %v became %v", want, got)
+	}
+}
+
+// TestSavedForms: another form, width or a figure that is not finite is refused.
+func TestSavedForms(t *testing.T) {
+	l := New(0.2, 0.8, 0, 0, 1, quiet)
+	good := l.Save()
+	if err := l.Restore(good); err != nil {
+		t.Fatal(err)
+	}
+	for name, spoil := range map[string]func(*Saved){
+		"form":   func(s *Saved) { s.Form++ },
+		"width":  func(s *Saved) { s.Weights = s.Weights[1:] },
+		"nan":    func(s *Saved) { s.Weights = append([]float64{math.NaN()}, s.Weights[1:]...) },
+		"count":  func(s *Saved) { s.Paid = -1 },
+		"absent": func(s *Saved) { *s = Saved{} },
+	} {
+		s := good
+		spoil(&s)
+		if l.Restore(s) == nil {
+			t.Errorf("%s: taken", name)
+		}
+	}
+}
+
+// TestMedianOfCompletedRuns: the owner's estimate holds until enough runs were
+// seen, corrected by the class's bias; then the median does.
+func TestMedianOfCompletedRuns(t *testing.T) {
+	e := NewEstimates()
+	if got := e.RunS("a", 100); got != 100 {
+		t.Fatalf("without runs: %v", got)
+	}
+	e.Completed("a", 50, 100)
+	if got := e.RunS("a", 200); got != 100 {
+		t.Fatalf("with one run of half its estimate: %v", got)
+	}
+	for _, r := range []float64{math.NaN(), -1, 0, math.Inf(1)} {
+		e.Completed("a", r, 100)
+	}
+	for range tuning.LearnEnough {
+		e.Completed("a", 300, 100)
+	}
+	if got := e.RunS("a", 1); got != 300 {
+		t.Fatalf("median: %v", got)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -39,12 +39,12 @@
 	commit := store.NewCommitter(client, func(ops []wire.Op, rev uint64) { cache.Local(ops, rev) })
 	members := member.New(set.Node, inc, set.Nodes(), client, commit, cache, view, log)
 	workers := fleet.New(set, view, members, cache.Fresh, log, rt)
-	engine := place.New(set, op, view, members, workers, commit, log)
+	engine := place.New(set, op, view, members, workers, commit, client, log)
 	cloud := pool.NewCloud(set.Outside.Cloud, d.Cloud.RPS*tuning.CloudShare/float64(d.Size), rt)
 	machines := pool.New(set, op, view, members, engine, cloud, commit, log)
 	users := intake.New(set, view, client, commit, cache, workers, log)
 	return &Node{handler: users.Handler(), runs: []func(context.Context) error{
-		cache.Run, commit.Run, members.Run, workers.Run, engine.Run, machines.Run,
+		cache.Run, commit.Run, members.Run, workers.Run, engine.Run, engine.Learn, machines.Run,
 	}}
 }
 
--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -11,6 +11,7 @@
 
 	"sableusher/internal/config"
 	"sableusher/internal/fleet"
+	"sableusher/internal/learn"
 	"sableusher/internal/member"
 	"sableusher/internal/quota"
 	"sableusher/internal/store"
@@ -44,6 +45,8 @@
 	deaths  []time.Time
 	fenced  map[int]time.Time
 	demand  Demand
+	values  values
+	reader  Reader
 	again   chan struct{}
 }
 
@@ -58,12 +61,17 @@
 }
 
 // New makes an engine.
-func New(set *config.Settings, op *config.Operator, w *world.World, m *member.Member, f *fleet.Fleet, c *store.Committer, log *slog.Logger) *Engine {
+func New(set *config.Settings, op *config.Operator, w *world.World, m *member.Member, f *fleet.Fleet, c *store.Committer, reader Reader, log *slog.Logger) *Engine {
 	return &Engine{
 		set: set, op: op, world: w, member: m, fleet: f, commit: c, quota: quota.New(set.Deployment.Teams, w), log: log,
 		busy: map[string]bool{}, moving: map[uint64]*change{}, backoff: map[string]retry{}, waits: map[world.TaskRef]time.Time{},
 		forming: map[string]time.Time{}, held: map[string]reserve{}, owned: map[int]time.Time{}, gone: map[string]bool{},
-		fenced: map[int]time.Time{}, again: make(chan struct{}, 1),
+		fenced: map[int]time.Time{}, reader: reader,
+		values: values{
+			learner: learn.New(op.LearnRate, op.Discount, op.Exploration, op.ColdPayoffs, m.Inc, log),
+			runs:    learn.NewEstimates(), open: map[attempt]int64{}, began: map[attempt]time.Time{}, recent: 0.5,
+		},
+		again: make(chan struct{}, 1),
 	}
 }
 
@@ -127,6 +135,7 @@
 	defer e.mu.Unlock()
 	e.world.RLock()
 	r := e.newRound(now)
+	r.clock()
 	r.adopt()
 	r.settle()
 	r.machinesDue()
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"sableusher/internal/learn"
 	"sableusher/internal/tuning"
 	"sableusher/internal/wire"
 	"sableusher/internal/world"
@@ -45,6 +46,10 @@
 	job      *world.Job
 	rank     int
 	deadline time.Time
+	pressing bool // its deadline can still be met, but not for long
+	choice   learn.Choice
+	scored   bool
+	taken    bool
 }
 
 func (r *round) nodes() []*node {
@@ -86,12 +91,10 @@
 		if b, ok := r.backoff[id]; ok && r.now.Before(b.until) {
 			continue
 		}
-		out = append(out, due{j, wire.Rank(j.Spec.Priority), r.deadline(j)})
+		deadline, pressing := r.deadline(j)
+		out = append(out, due{job: j, rank: wire.Rank(j.Spec.Priority), deadline: deadline, pressing: pressing})
 	}
-	slices.SortFunc(out, func(a, b due) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), a.deadline.Compare(b.deadline),
-			cmp.Compare(a.job.AtMs, b.job.AtMs), cmp.Compare(a.job.Spec.ID, b.job.Spec.ID))
-	})
+	r.order(out)
 	if len(r.backoff) > 0 {
 		for id := range r.backoff {
 			if r.world.Jobs[id] == nil {
@@ -112,27 +115,37 @@
 	return out
 }
 
-// deadline is when a job should be over, or started, by what its user or its
-// class's aims say.
-func (r *round) deadline(j *world.Job) time.Time {
+// deadline is when a job should be over by what its user or its class's aims
+// say: the next such time that can still be met, else the last. It is pressing
+// when little slack is left.
+func (r *round) deadline(j *world.Job) (time.Time, bool) {
 	at := time.UnixMilli(j.AtMs)
+	run := secs(r.values.runs.RunS(j.Spec.Class, j.Spec.EstimateS))
+	var aims []time.Time
 	if j.Spec.DeadlineS > 0 {
-		return at.Add(secs(j.Spec.DeadlineS))
+		aims = append(aims, at.Add(secs(j.Spec.DeadlineS)))
 	}
-	best := at.Add(tuning.NoDeadline)
 	for _, o := range r.set.Deployment.Objectives {
-		if o.Class != j.Spec.Class || o.WithinS <= 0 {
-			continue
-		}
-		d := at.Add(secs(o.WithinS))
-		if o.Kind == "wait" {
-			d = d.Add(secs(j.Spec.EstimateS))
+		switch {
+		case o.Class != j.Spec.Class:
+		case o.Kind == "deadline" && j.Spec.DeadlineS > 0 && o.Times > 0:
+			aims = append(aims, at.Add(secs(j.Spec.DeadlineS*o.Times)))
+		case o.Kind == "wait" && o.WithinS > 0:
+			aims = append(aims, at.Add(secs(o.WithinS)+run))
+		case o.WithinS > 0:
+			aims = append(aims, at.Add(secs(o.WithinS)))
 		}
-		if d.Before(best) {
-			best = d
+	}
+	if len(aims) == 0 {
+		return at.Add(tuning.NoDeadline), false
+	}
+	slices.SortFunc(aims, time.Time.Compare)
+	for _, d := range aims {
+		if slack := d.Sub(r.now) - run; slack >= 0 {
+			return d, slack < max(tuning.DeadlineGuardMin, time.Duration(tuning.DeadlineGuard*float64(run)))
 		}
 	}
-	return best
+	return aims[len(aims)-1], false
 }
 
 func secs(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
@@ -206,11 +219,9 @@
 		}
 	}
 	d := Demand{At: r.now}
-	for i, du := range r.queue() {
-		if i >= tuning.RoundJobs {
-			break
-		}
-		r.placeJob(du, nodes, total, &d)
+	queue := r.queue()
+	for i := range queue[:min(len(queue), tuning.RoundJobs)] {
+		r.placeJob(&queue[i], nodes, total, &d)
 	}
 	for _, n := range nodes {
 		d.Room += share(n.free, world.Capacity(&n.typ))
@@ -221,7 +232,7 @@
 	r.demand = d
 }
 
-func (r *round) placeJob(du due, nodes []*node, total map[string]world.Amount, d *Demand) {
+func (r *round) placeJob(du *due, nodes []*node, total map[string]world.Amount, d *Demand) {
 	j, spec := du.job, &du.job.Spec
 	need := world.Need(spec)
 	if r.busy[world.JobKey(spec.ID)] {
@@ -279,7 +290,7 @@
 		rooms[n.m.Part]--
 		z.add(j, n.m.Zone)
 		if n.mine {
-			r.bind(j, i, r.task(j, i).Attempt+1, n, need)
+			r.bind(du, i, r.task(j, i).Attempt+1, n, need)
 		}
 	}
 	if missing > 0 {
@@ -355,7 +366,8 @@
 }
 
 // bind adds a task to the records' changes, if its team's grant covers it.
-func (r *round) bind(j *world.Job, i int, attempt uint64, n *node, need world.Amount) bool {
+func (r *round) bind(du *due, i int, attempt uint64, n *node, need world.Amount) bool {
+	j := du.job
 	team := j.Spec.Team
 	if r.bound >= tuning.RoundTasks || !r.quota.Allowed(n.m.Part, team, r.use(n.m.Part, team).Plus(need, 1)) {
 		return false
@@ -372,6 +384,7 @@
 	ed.binds = append(ed.binds, b)
 	r.move(b)
 	r.bound++
+	r.took(du, b, attempt)
 	delete(r.waits, ref)
 	if n.kept == j.Spec.ID {
 		delete(r.held, n.m.Name)
@@ -383,7 +396,7 @@
 
 // placeGang places all tasks of a gang or none. A gang that is partly bound by
 // another node is completed with the same attempt.
-func (r *round) placeGang(du due, nodes []*node, total map[string]world.Amount, d *Demand) {
+func (r *round) placeGang(du *due, nodes []*node, total map[string]world.Amount, d *Demand) {
 	j, spec := du.job, &du.job.Spec
 	need := world.Need(spec)
 	var attempt uint64
@@ -483,14 +496,14 @@
 		n.free = n.free.Plus(need, -1)
 		n.images[spec.Image] = true
 		if n.mine {
-			r.bind(j, i, attempt, n, need)
+			r.bind(du, i, attempt, n, need)
 		}
 	}
 }
 
 // preempt frees room for a task of higher priority on the machine of this
 // node's parts where the least work is lost.
-func (r *round) preempt(du due, ref world.TaskRef, need world.Amount, nodes []*node, z *zones) {
+func (r *round) preempt(du *due, ref world.TaskRef, need world.Amount, nodes []*node, z *zones) {
 	for _, h := range r.held {
 		if h.ref == ref {
 			return // room is being freed for it already
--- a/internal/place/settle.go
+++ b/internal/place/settle.go
@@ -120,6 +120,7 @@
 	if part := world.PartOf(machine, r.world.Size); r.stamps[part] != 0 {
 		ed.parts[part] = true
 	}
+	r.ended(b, state == world.Done, machine)
 	r.log.Debug("task leaves machine", "task", b.Ref, "attempt", b.Attempt, "machine", machine, "why", why)
 }
 
@@ -179,6 +180,7 @@
 		if t.State != wire.TaskFetching {
 			r.fleet.NoteImage(name, spec.Image)
 		}
+		r.alive(b, t)
 	case fleet.Exited:
 		r.exited(b, name, t)
 		return
--- /dev/null
+++ b/internal/place/value.go
@@ -0,0 +1,325 @@
+package place
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"math"
+	"slices"
+	"time"
+
+	"sableusher/internal/config"
+	"sableusher/internal/fleet"
+	"sableusher/internal/learn"
+	"sableusher/internal/store"
+	"sableusher/internal/tuning"
+	"sableusher/internal/wire"
+	"sableusher/internal/world"
+)
+
+// Reader reads single records.
+type Reader interface {
+	Get(ctx context.Context, key string) (wire.Row, error)
+}
+
+// attempt names one start of a task.
+type attempt struct {
+	ref world.TaskRef
+	n   uint64
+}
+
+// values is what the engine keeps for the learner: decisions whose payoff is
+// due, run times, and the two sides of utilization.
+type values struct {
+	learner *learn.Learner
+	runs    *learn.Estimates
+	open    map[attempt]int64
+	began   map[attempt]time.Time
+
+	finished float64 // run time of completed tasks, in machine seconds, fading
+	paid     float64 // time of machines held, fading
+	last     time.Time
+	recent   float64 // responsiveness of late, fading
+}
+
+// utilization is the finished share of the machine time paid for.
+func (v *values) utilization() float64 {
+	if v.paid <= 0 {
+		return 0
+	}
+	return min(1, v.finished/v.paid)
+}
+
+// Payoff mixes responsiveness and utilization.
+func (e *Engine) payoff(responsiveness float64) float64 {
+	return e.op.Lambda*responsiveness + (1-e.op.Lambda)*e.values.utilization()
+}
+
+// clock moves utilization's paid side on; machines of this node's parts count.
+func (r *round) clock() {
+	v := &r.values
+	if !v.last.IsZero() {
+		dt := r.now.Sub(v.last)
+		fade := math.Pow(0.5, dt.Seconds()/tuning.UtilizationFade.Seconds())
+		held := 0
+		for _, m := range r.world.Machines {
+			if _, mine := r.stamps[m.Part]; mine {
+				held++
+			}
+		}
+		v.finished, v.paid = v.finished*fade, v.paid*fade+float64(held)*dt.Seconds()
+	}
+	v.last = r.now
+}
+
+// alive notes when a task began to run, and pays a service's start once it has
+// run for a while: it never completes.
+func (r *round) alive(b world.Binding, t fleet.Task) {
+	if t.State != wire.TaskRunning {
+		return
+	}
+	k := attempt{b.Ref, b.Attempt}
+	if _, ok := r.values.began[k]; !ok {
+		r.values.began[k] = t.Since
+	}
+	if id, ok := r.values.open[k]; ok && b.Job.Spec.Kind == wire.KindService && r.now.Sub(t.Since) > tuning.ServicePayoff {
+		waited := t.Since.Sub(time.UnixMilli(b.Job.AtMs)).Seconds()
+		ran := tuning.ServicePayoff.Seconds()
+		r.pay(id, k, ran/(ran+max(0, waited)))
+	}
+}
+
+// ended pays the start of a task that left its machine. Responsiveness is run
+// time over run time plus all other time since submission; a start that did not
+// lead to the end has none of it.
+func (r *round) ended(b world.Binding, done bool, machine string) {
+	k := attempt{b.Ref, b.Attempt}
+	began, ran := r.values.began[k]
+	delete(r.values.began, k)
+	spec := &b.Job.Spec
+	responsiveness := 0.0
+	if done && ran {
+		run := r.now.Sub(began).Seconds()
+		total := max(run, r.now.Sub(time.UnixMilli(b.Job.AtMs)).Seconds())
+		if total > 0 {
+			responsiveness = run / total
+		}
+		if m := r.world.Machines[machine]; m != nil {
+			if typ, ok := r.world.Types[m.Type]; ok {
+				c := world.Capacity(&typ)
+				r.values.finished += run * (1 - share(c.Plus(world.Need(spec), -1), c))
+			}
+		}
+		if b.Attempt == 1 { // a later attempt may have resumed saved work
+			r.values.runs.Completed(spec.Class, run, spec.EstimateS)
+		}
+	}
+	if id, ok := r.values.open[k]; ok {
+		r.pay(id, k, responsiveness)
+	}
+}
+
+func (r *round) pay(id int64, k attempt, responsiveness float64) {
+	delete(r.values.open, k)
+	r.values.recent += (responsiveness - r.values.recent) / 16
+	p := r.payoff(responsiveness)
+	r.values.learner.Pay(id, p)
+	r.log.Debug("payoff", "task", k.ref, "responsiveness", responsiveness, "utilization", r.values.utilization(), "payoff", p)
+}
+
+// state describes what this round chooses in.
+func (r *round) state() learn.State {
+	s := learn.State{Shares: map[string]float64{}, NextFreeS: math.Inf(1)}
+	waiting := 0.0
+	for _, j := range r.world.Jobs {
+		if !j.Known || j.Cancelled() {
+			continue
+		}
+		run := r.values.runs.RunS(j.Spec.Class, j.Spec.EstimateS)
+		// Half of a task's run time is left on average.
+		s.RunningS += float64(j.Bound) * run / 2
+		if j.Bound > 0 && run > 0 {
+			s.NextFreeS = min(s.NextFreeS, run/2/float64(j.Bound))
+		}
+		if n := float64(j.Pending()); n > 0 {
+			s.BacklogS += n * run
+			s.Shares[j.Spec.Team]++
+			waiting++
+		}
+	}
+	for team := range s.Shares {
+		s.Shares[team] /= waiting
+	}
+	for _, m := range r.world.Machines {
+		if m.Up && len(m.Bound) == 0 {
+			s.Idle++
+		}
+	}
+	if s.Idle > 0 || math.IsInf(s.NextFreeS, 1) {
+		s.NextFreeS = 0
+	}
+	return s
+}
+
+// order sorts the waiting jobs. Priority comes first and is never crossed; then
+// jobs whose deadline is in danger, by deadline; then the learned values, or
+// while the learner is cold the earliest deadline and arrival.
+func (r *round) order(list []due) {
+	warm := r.op.Learn && r.values.learner.Warm()
+	if warm {
+		s := r.state()
+		for i := range list[:min(len(list), tuning.LearnCandidates)] {
+			d := &list[i]
+			d.choice = r.values.learner.Score(&s, r.action(d.job))
+			d.scored = true
+		}
+	}
+	slices.SortStableFunc(list, func(a, b due) int {
+		c := cmp.Or(cmp.Compare(a.rank, b.rank), -compareBool(a.pressing, b.pressing))
+		if c == 0 && a.scored && b.scored && !a.pressing {
+			c = -cmp.Compare(a.choice.Value, b.choice.Value)
+		}
+		return cmp.Or(c, a.deadline.Compare(b.deadline), cmp.Compare(a.job.AtMs, b.job.AtMs), cmp.Compare(a.job.Spec.ID, b.job.Spec.ID))
+	})
+	if !warm {
+		return
+	}
+	// A random pick comes first among its equals in priority and danger.
+	if i, ok := r.values.learner.Explore(len(list)); ok {
+		first := slices.IndexFunc(list, func(d due) bool { return d.rank == list[i].rank && d.pressing == list[i].pressing })
+		r.log.Debug("random pick", "job", list[i].job.Spec.ID)
+		picked := list[i]
+		copy(list[first+1:i+1], list[first:i])
+		list[first] = picked
+	}
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
+func (r *round) action(j *world.Job) *learn.Action {
+	return &learn.Action{Class: j.Spec.Class, Team: j.Spec.Team, RunS: r.values.runs.RunS(j.Spec.Class, j.Spec.EstimateS),
+		Interactive: wire.Rank(j.Spec.Priority) <= wire.Rank(wire.PriorityHigh)}
+}
+
+// took tells the learner of a job that was started; one decision a job and round.
+func (r *round) took(d *due, b bind, n uint64) {
+	if !r.op.Learn || d.taken {
+		return
+	}
+	d.taken = true
+	if !d.scored {
+		s := r.state()
+		d.choice = r.values.learner.Score(&s, r.action(d.job))
+	}
+	r.values.open[attempt{b.ref, n}] = r.values.learner.Take(d.choice)
+	r.log.Debug("job chosen", "job", d.job.Spec.ID, "value", d.choice.Value, "pressing", d.pressing)
+}
+
+// SizeState gives what the pool's size is chosen in.
+func (e *Engine) SizeState() learn.State {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.world.RLock()
+	defer e.world.RUnlock()
+	r := &round{Engine: e, now: time.Now()}
+	return r.state()
+}
+
+// SizePayoff is what a size has earned: responsiveness of late and utilization.
+func (e *Engine) SizePayoff() float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.payoff(e.values.recent)
+}
+
+// Learner gives the learner that the pool shares.
+func (e *Engine) Learner() *learn.Learner { return e.values.learner }
+
+// Learn keeps the readout fitted and saved until ctx ends.
+func (e *Engine) Learn(ctx context.Context) error {
+	key := world.LearnKey(e.set.Node)
+	e.restore(ctx, key)
+	refit := time.NewTicker(config.Seconds(e.op.RefitS))
+	defer refit.Stop()
+	save := time.NewTicker(tuning.LearnSave)
+	defer save.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-refit.C:
+			if err := e.values.learner.Refit(); err != nil {
+				e.log.Info("values not refitted", "err", err)
+			}
+			e.forget()
+		case <-save.C:
+			s := e.values.learner.Save()
+			e.values.runs.Save(&s)
+			cctx, cancel := context.WithTimeout(ctx, tuning.CommitTimeout)
+			if _, err := e.commit.Do(cctx, store.Item{Ops: []wire.Op{store.Set(key, s)}}); err != nil {
+				e.log.Debug("values not saved", "err", err)
+			}
+			cancel()
+		}
+	}
+}
+
+// restore goes on from the values saved under the node's name. They are advice
+// only: what is corrupt or of another form is ignored.
+func (e *Engine) restore(ctx context.Context, key string) {
+	for ctx.Err() == nil {
+		row, err := e.reader.Get(ctx, key)
+		if errors.Is(err, store.ErrNotFound) {
+			return
+		}
+		if err != nil {
+			select {
+			case <-ctx.Done():
+			case <-time.After(tuning.StateRetry):
+			}
+			continue
+		}
+		var s learn.Saved
+		if err := wire.Decode(row.Value, &s); err != nil {
+			e.log.Info("saved values ignored", "err", err)
+			return
+		}
+		if err := e.values.learner.Restore(s); err != nil {
+			e.log.Info("saved values ignored", "err", err)
+			return
+		}
+		e.values.runs.Restore(s)
+		e.log.Info("goes on from saved values", "payoffs", s.Paid)
+		return
+	}
+}
+
+// forget drops what no task needs any more.
+func (e *Engine) forget() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.world.RLock()
+	defer e.world.RUnlock()
+	stale := func(k attempt) bool {
+		j := e.world.Jobs[k.ref.Job]
+		return j == nil || !j.Known || j.Task(k.ref.Index).Attempt > k.n
+	}
+	for k := range e.values.open {
+		if stale(k) {
+			delete(e.values.open, k)
+		}
+	}
+	for k := range e.values.began {
+		if stale(k) {
+			delete(e.values.began, k)
+		}
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -209,3 +209,57 @@
 	// StopGrace is how long orderly cancellation may take.
 	StopGrace = 2 * time.Second
 )
+
+// Learner.
+const (
+	// ReservoirUnits is the paper's reservoir size.
+	ReservoirUnits = 100
+	// ReservoirDensity is the paper's share of connections within the reservoir.
+	ReservoirDensity = 0.10
+	// InputDensity is the share of connections from the input; the paper gives
+	// 15% for the layer beside the reservoir.
+	InputDensity = 0.15
+	// ReservoirContraction bounds how much of a difference of memories survives a step.
+	ReservoirContraction = 0.8
+	// InputScale sets how strongly an input of 0 to 1 drives a unit.
+	InputScale = 2.0
+	// ReservoirSeed fixes the random weights, so that saved readouts fit.
+	ReservoirSeed = 20100612
+	// LearnBuckets is the width classes and teams are hashed into.
+	LearnBuckets = 8
+	// LearnWorkScale is the work, in machine seconds, that encodes as one half.
+	LearnWorkScale = 600.0
+	// LearnTimeScale is the time, in seconds, that encodes as one half.
+	LearnTimeScale = 60.0
+	// LearnCountScale is the number of machines that encodes as one half.
+	LearnCountScale = 16.0
+	// LearnSamples bounds the samples of a refit: several times the readout's width.
+	LearnSamples = 600
+	// LearnMinSamples is the fewest samples worth a refit.
+	LearnMinSamples = 40
+	// OpenDecisions bounds the decisions that wait for their payoff.
+	OpenDecisions = 4096
+	// Ridge is the weight of the regression's regularisation.
+	Ridge = 1.0
+	// LearnForm numbers the saved form; others are ignored.
+	LearnForm = 1
+	// LearnClasses bounds the classes whose run times are kept.
+	LearnClasses = 48
+	// LearnRuns is how many run times of a class are kept.
+	LearnRuns = 101
+	// LearnEnough is how many runs make a median.
+	LearnEnough = 5
+	// LearnSave is the interval of saving; the saved form takes about 3 KiB.
+	LearnSave = 30 * time.Second
+	// LearnCandidates bounds the jobs that one round values.
+	LearnCandidates = 64
+	// UtilizationFade is the time over which finished work and paid time fade by half.
+	UtilizationFade = 10 * time.Minute
+	// ServicePayoff is the run time after which a service's start is paid.
+	ServicePayoff = 60 * time.Second
+	// DeadlineGuard is the slack, as a share of the expected run time, below
+	// which a job's deadline outranks the learned order.
+	DeadlineGuard = 0.5
+	// DeadlineGuardMin is the least such slack.
+	DeadlineGuardMin = 10 * time.Second
+)
--- a/internal/world/records.go
+++ b/internal/world/records.go
@@ -25,6 +25,7 @@
 	rentKeys   = "s/r/"
 	CatalogKey = "s/catalog"
 	finalKeys  = "f/"
+	learnKeys  = "l/"
 )
 
 // Keys by record.
@@ -35,6 +36,7 @@
 func NodeKey(name string) string       { return nodeKeys + name }
 func QuotaKey(team string) string      { return quotaKeys + team }
 func RentalKey(name string) string     { return rentKeys + name }
+func LearnKey(node string) string      { return learnKeys + node }
 func FinalKey(id string) string        { return finalKeys + id }
 
 // Leader is the pseudo part whose owner leads: it sizes the fleet.
