--- a/cmd/sableusher/serve.go
+++ b/cmd/sableusher/serve.go
@@ -20,6 +20,7 @@
 
 	"sableusher/internal/config"
 	"sableusher/internal/node"
+	"sableusher/internal/peer"
 	"sableusher/internal/tuning"
 )
 
@@ -43,7 +44,11 @@
 	runtime.GOMAXPROCS(max(1, int(d.Limits.CPUShare+0.5)))
 	debug.SetMemoryLimit(int64(d.Limits.MemMB * tuning.MemoryShare * (1 << 20)))
 
-	controller := node.New(set, op, rand.Uint64N(1<<52)+1, nil, log)
+	controller, err := node.New(set, op, rand.Uint64N(1<<52)+1, nil,
+		func(w peer.Witness) (node.Lines, error) { return peer.New(set, w, log) }, log)
+	if err != nil {
+		return err
+	}
 
 	listener, err := net.Listen("tcp4", set.Listen)
 	if err != nil {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -423,3 +423,28 @@
 	f.adopt = map[string]wire.Report{}
 	return out
 }
+
+// HeardOf gives those machines whose workers have reported to this node lately,
+// though it may not own them: they came because their owner did not answer.
+func (f *Fleet) HeardOf(machines []string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	limit := time.Duration(tuning.DeadAfter * float64(f.set.Report()))
+	var out []string
+	for _, n := range machines {
+		at := f.bounced[n]
+		if m := f.machines[n]; m != nil && m.heard.After(at) {
+			at = m.heard
+		}
+		if !at.IsZero() && time.Since(at) < limit {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// FreshView tells whether this node's view is fresh enough to take parts.
+func (f *Fleet) FreshView() bool {
+	fresh := f.fresh()
+	return !fresh.IsZero() && time.Since(fresh) < tuning.ReadyStale
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -35,12 +35,13 @@
 	orphan map[int]time.Time    // since when a part has no live owner
 	seen   map[string]time.Time // since when a node's session is present
 	fences map[int]bool
+	took   map[int]time.Time // since when a part is ours
 }
 
 // New makes the membership of node self among nodes.
 func New(self string, inc uint64, nodes []string, c *store.Client, commit *store.Committer, cache *store.Cache, w *world.World, log *slog.Logger) *Member {
 	return &Member{Self: self, Inc: inc, nodes: nodes, client: c, commit: commit, cache: cache, world: w, log: log,
-		orphan: map[int]time.Time{}, seen: map[string]time.Time{}, fences: map[int]bool{}}
+		orphan: map[int]time.Time{}, seen: map[string]time.Time{}, fences: map[int]bool{}, took: map[int]time.Time{}}
 }
 
 // Run keeps the session and takes parts until ctx ends.
@@ -202,6 +203,13 @@
 			owned++
 		}
 	}
+	for part, p := range m.world.Parts {
+		if _, ok := m.took[part]; !m.mine(p) {
+			delete(m.took, part)
+		} else if !ok {
+			m.took[part] = now
+		}
+	}
 	var out []claim
 	selfGuard := wire.Guard{Key: world.NodeKey(m.Self), Stamp: self.Stamp}
 	for part := world.Leader; part < m.world.Size; part++ {
@@ -254,7 +262,11 @@
 		return claim{}, false
 	}
 	h, ok := m.world.Nodes[home]
-	if !ok || now.Sub(m.seen[home]) < tuning.HandBackAfter {
+	wait := tuning.HandBackAfter
+	if p.Given {
+		wait = tuning.GivenHold
+	}
+	if !ok || now.Sub(m.seen[home]) < wait || now.Sub(m.took[part]) < wait {
 		return claim{}, false
 	}
 	rec := world.PartRecord{Owner: home, Inc: h.Inc, Token: p.Token + 1}
@@ -315,6 +327,26 @@
 	}
 }
 
+// Give hands a part to another node, which hears the part's workers while this
+// one does not.
+func (m *Member) Give(ctx context.Context, part int, to string) {
+	m.world.RLock()
+	p, known := m.world.Parts[part]
+	n, live := m.world.Nodes[to]
+	m.world.RUnlock()
+	if !known || !live || !m.mine(p) || m.fencing(part) {
+		return
+	}
+	rec := world.PartRecord{Owner: to, Inc: n.Inc, Token: p.Token + 1, Given: true}
+	ctx, cancel := context.WithTimeout(ctx, 2*tuning.StateTimeout)
+	defer cancel()
+	_, err := m.commit.Do(ctx, store.Item{
+		Guards: []wire.Guard{{Key: world.PartKey(part), Stamp: p.Stamp}, {Key: world.NodeKey(to), Stamp: n.Stamp}},
+		Ops:    []wire.Op{store.Set(world.PartKey(part), rec)}, Urgent: true,
+	})
+	m.log.Info("part given away: its workers report elsewhere", "part", part, "to", to, "err", err)
+}
+
 // Nodes lists all nodes in the agreed order.
 func (m *Member) Nodes() []string { return slices.Clone(m.nodes) }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"sableusher/internal/fleet"
 	"sableusher/internal/intake"
 	"sableusher/internal/member"
+	"sableusher/internal/peer"
 	"sableusher/internal/place"
 	"sableusher/internal/pool"
 	"sableusher/internal/store"
@@ -26,9 +27,16 @@
 	runs    []func(context.Context) error
 }
 
+// Lines are a node's lines to the other nodes.
+type Lines interface {
+	place.Peers
+	Run(ctx context.Context) error
+}
+
 // New makes a controller. inc tells this process from all others under its
-// name; rt carries its requests, nil for the network.
-func New(set *config.Settings, op *config.Operator, inc uint64, rt http.RoundTripper, log *slog.Logger) *Node {
+// name; rt carries its requests, nil for the network; lines makes the lines to
+// the other nodes.
+func New(set *config.Settings, op *config.Operator, inc uint64, rt http.RoundTripper, lines func(peer.Witness) (Lines, error), log *slog.Logger) (*Node, error) {
 	d := &set.Deployment
 	share := tuning.StateShare / float64(d.Size)
 	client := store.NewClient(set.Outside.State, store.Limits{
@@ -39,13 +47,17 @@
 	commit := store.NewCommitter(client, func(ops []wire.Op, rev uint64) { cache.Local(ops, rev) })
 	members := member.New(set.Node, inc, set.Nodes(), client, commit, cache, view, log)
 	workers := fleet.New(set, view, members, cache.Fresh, log, rt)
-	engine := place.New(set, op, view, members, workers, commit, client, log)
+	peers, err := lines(workers)
+	if err != nil {
+		return nil, err
+	}
+	engine := place.New(set, op, view, members, workers, commit, client, peers, log)
 	cloud := pool.NewCloud(set.Outside.Cloud, d.Cloud.RPS*tuning.CloudShare/float64(d.Size), rt)
 	machines := pool.New(set, op, view, members, engine, cloud, commit, log)
 	users := intake.New(set, view, client, commit, cache, workers, log)
 	return &Node{handler: users.Handler(), runs: []func(context.Context) error{
-		cache.Run, commit.Run, members.Run, workers.Run, engine.Run, engine.Learn, machines.Run,
-	}}
+		cache.Run, commit.Run, members.Run, workers.Run, engine.Run, engine.Learn, machines.Run, peers.Run,
+	}}, nil
 }
 
 // Handler serves users, workers and health checks.
--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -47,9 +47,23 @@
 	demand  Demand
 	values  values
 	reader  Reader
+	peers   Peers
+	asked   time.Time
+	vetoes  map[string]veto // silent machines, by what the peers said
 	again   chan struct{}
 }
 
+// Peers asks the other nodes which workers they have heard from.
+type Peers interface {
+	Ask(ctx context.Context, machines []string) map[string]string
+}
+
+// veto is what the peers said of a silent machine; no node: none has heard it.
+type veto struct {
+	at   time.Time
+	node string
+}
+
 type retry struct {
 	until time.Time
 	pause time.Duration
@@ -61,12 +75,12 @@
 }
 
 // New makes an engine.
-func New(set *config.Settings, op *config.Operator, w *world.World, m *member.Member, f *fleet.Fleet, c *store.Committer, reader Reader, log *slog.Logger) *Engine {
+func New(set *config.Settings, op *config.Operator, w *world.World, m *member.Member, f *fleet.Fleet, c *store.Committer, reader Reader, peers Peers, log *slog.Logger) *Engine {
 	return &Engine{
 		set: set, op: op, world: w, member: m, fleet: f, commit: c, quota: quota.New(set.Deployment.Teams, w), log: log,
 		busy: map[string]bool{}, moving: map[uint64]*change{}, backoff: map[string]retry{}, waits: map[world.TaskRef]time.Time{},
 		forming: map[string]time.Time{}, held: map[string]reserve{}, owned: map[int]time.Time{}, gone: map[string]bool{},
-		fenced: map[int]time.Time{}, reader: reader,
+		fenced: map[int]time.Time{}, reader: reader, peers: peers, vetoes: map[string]veto{},
 		values: values{
 			learner: learn.New(op.LearnRate, op.Discount, op.Exploration, op.ColdPayoffs, m.Inc, log),
 			runs:    learn.NewEstimates(), open: map[attempt]int64{}, began: map[attempt]time.Time{}, recent: 0.5,
--- a/internal/place/settle.go
+++ b/internal/place/settle.go
@@ -460,8 +460,20 @@
 		}
 	}
 	r.deaths = slices.DeleteFunc(r.deaths, func(t time.Time) bool { return r.now.Sub(t) > tuning.DeadWindow })
+	var dead []string
 	for _, d := range list {
 		if d.dead {
+			dead = append(dead, d.m.Name)
+		}
+	}
+	r.ask(dead)
+	r.giveAway()
+	for _, d := range list {
+		if d.dead {
+			// Only what no other node hears either is dead.
+			if v, ok := r.vetoes[d.m.Name]; !ok || v.node != "" {
+				continue
+			}
 			// Most machines silent at once means that we are cut off, not they.
 			if silent*2 > up && up > 2 || len(r.deaths) >= max(2, int(tuning.DeadCap*float64(up))) {
 				continue
@@ -483,3 +495,57 @@
 	}
 	return false
 }
+
+// ask asks the other nodes about silent machines; their answers count from the
+// next round on, and for a while.
+func (r *round) ask(dead []string) {
+	for n, v := range r.vetoes {
+		if !slices.Contains(dead, n) || r.now.Sub(v.at) > 2*tuning.AskEvery {
+			delete(r.vetoes, n)
+		}
+	}
+	if len(dead) == 0 || r.now.Sub(r.asked) < tuning.AskEvery {
+		return
+	}
+	r.asked = r.now
+	e := r.Engine
+	go func() {
+		heard := e.peers.Ask(e.ctx, dead)
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		for _, n := range dead {
+			e.vetoes[n] = veto{time.Now(), heard[n]}
+		}
+		e.poke()
+	}()
+}
+
+// giveAway hands a part to the node that hears most of its silent machines: this
+// node is cut off from them, not they from the region.
+func (r *round) giveAway() {
+	count := map[int]map[string]int{}
+	for n, v := range r.vetoes {
+		if v.node == "" {
+			continue
+		}
+		p := world.PartOf(n, r.world.Size)
+		if count[p] == nil {
+			count[p] = map[string]int{}
+		}
+		count[p][v.node]++
+	}
+	for p, nodes := range count {
+		machines := 0
+		for _, m := range r.world.Machines {
+			if m.Part == p && m.Up && !m.Gone {
+				machines++
+			}
+		}
+		for node, n := range nodes {
+			if 2*n > machines {
+				go r.member.Give(r.ctx, p, node)
+				break
+			}
+		}
+	}
+}
--- a/internal/standin/region.go
+++ b/internal/standin/region.go
@@ -15,6 +15,7 @@
 
 	"sableusher/internal/config"
 	"sableusher/internal/node"
+	"sableusher/internal/peer"
 	"sableusher/internal/wire"
 	"sableusher/internal/world"
 )
@@ -26,6 +27,31 @@
 	stop    context.CancelFunc
 	alive   *atomic.Bool
 	ended   chan struct{}
+	witness peer.Witness
+}
+
+// lines stands in for gRPC between controllers.
+type lines struct {
+	r    *Region
+	self *Controller
+}
+
+func (l lines) Run(ctx context.Context) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (l lines) Ask(_ context.Context, machines []string) map[string]string {
+	out := map[string]string{}
+	for _, c := range l.r.nodes {
+		if _, cut := l.r.Net.cut(l.self.Set.Node, c.Set.Node); cut || c == l.self || !c.alive.Load() || !c.witness.FreshView() {
+			continue
+		}
+		for _, m := range c.witness.HeardOf(machines) {
+			out[m] = c.Set.Node
+		}
+	}
+	return out
 }
 
 // Region is a whole deployment of stand-ins around real controllers.
@@ -111,7 +137,13 @@
 	r.mu.Lock()
 	inc := r.rnd.Uint64N(1<<40) + 1
 	r.mu.Unlock()
-	n := node.New(c.Set, op, inc, r.Net.From(c.Set.Node, alive.Load), r.Log.With("node", c.Set.Node))
+	n, err := node.New(c.Set, op, inc, r.Net.From(c.Set.Node, alive.Load), func(w peer.Witness) (node.Lines, error) {
+		c.witness = w
+		return lines{r, c}, nil
+	}, r.Log.With("node", c.Set.Node))
+	if err != nil {
+		panic(err)
+	}
 	c.stop, c.alive, c.ended = cancel, alive, make(chan struct{})
 	r.Net.Listen(c.Address, &Host{c.Set.Node, n.Handler(), func() bool { return true }})
 	ended := c.ended
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -263,3 +263,20 @@
 	// DeadlineGuardMin is the least such slack.
 	DeadlineGuardMin = 10 * time.Second
 )
+
+// Peers.
+const (
+	// PeerTimeout bounds a question to another node: it is a hint, not worth waiting for.
+	PeerTimeout = 800 * time.Millisecond
+	// PeerMachines bounds the machines in one question.
+	PeerMachines = 1000
+	// PeerMessage bounds a message, in bytes.
+	PeerMessage = 64 << 10
+	// PeerStreams bounds the questions served at once.
+	PeerStreams = 32
+	// AskEvery is the shortest time between two questions.
+	AskEvery = 1500 * time.Millisecond
+	// GivenHold is how long a part stays away from a home that gave it up for
+	// want of its workers' reports.
+	GivenHold = 40 * time.Second
+)
--- a/internal/world/records.go
+++ b/internal/world/records.go
@@ -120,6 +120,7 @@
 	Owner string `cbor:"o"`
 	Inc   uint64 `cbor:"i"`
 	Token uint64 `cbor:"e"`
+	Given bool   `cbor:"g,omitempty"` // its home gave it away for want of its workers
 	Touch uint64 `cbor:"c,omitempty"` // counts rewrites that only fence older transactions
 }
 
