Learned sizing within bounds; each started task is a decision

The leader chooses every hold among five sizes between what high priority, the minimum and long waits need, and booked room plus step.

--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -31,6 +31,7 @@
 type Group struct {
 	Spec  *wire.Spec
 	Count int
+	Since time.Time // of the job's submission
 }
 
 // Demand is what a round could not place, and what it had no use for.
@@ -49,7 +50,6 @@
 	pressing bool // its deadline can still be met, but not for long
 	choice   learn.Choice
 	scored   bool
-	taken    bool
 }
 
 func (r *round) nodes() []*node {
@@ -295,7 +295,7 @@
 	}
 	if missing > 0 {
 		missing += max(0, j.Pending()-looked)
-		d.Groups = append(d.Groups, Group{spec, missing})
+		d.Groups = append(d.Groups, Group{spec, missing, time.UnixMilli(j.AtMs)})
 	}
 }
 
@@ -483,7 +483,7 @@
 			z.add(j, n.m.Zone)
 		}
 		if missing > 0 {
-			d.Groups = append(d.Groups, Group{spec, missing})
+			d.Groups = append(d.Groups, Group{spec, missing, time.UnixMilli(j.AtMs)})
 		}
 		if spec.Tasks == 1 {
 			z := pinned
--- a/internal/place/settle.go
+++ b/internal/place/settle.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sableusher/internal/fleet"
+	"sableusher/internal/learn"
 	"sableusher/internal/store"
 	"sableusher/internal/tuning"
 	"sableusher/internal/wire"
@@ -24,6 +25,7 @@
 	moveM  map[string]world.Amount // on their way, by machine
 	moveP  map[int]map[string]world.Amount
 	bound  int
+	seen   *learn.State // what this round chooses in
 }
 
 // edit gathers the changes of one record of a job.
--- a/internal/place/value.go
+++ b/internal/place/value.go
@@ -168,6 +168,7 @@
 	warm := r.op.Learn && r.values.learner.Warm()
 	if warm {
 		s := r.state()
+		r.seen = &s
 		for i := range list[:min(len(list), tuning.LearnCandidates)] {
 			d := &list[i]
 			d.choice = r.values.learner.Score(&s, r.action(d.job))
@@ -209,18 +210,23 @@
 		Interactive: wire.Rank(j.Spec.Priority) <= wire.Rank(wire.PriorityHigh)}
 }
 
-// took tells the learner of a job that was started; one decision a job and round.
+// took tells the learner of a task that was started. Each is a decision of its
+// own, as the paper's jobs take one processor each; the memory has moved on
+// since the last one, so all but the first are scored anew.
 func (r *round) took(d *due, b bind, n uint64) {
-	if !r.op.Learn || d.taken {
+	if !r.op.Learn {
 		return
 	}
-	d.taken = true
 	if !d.scored {
-		s := r.state()
-		d.choice = r.values.learner.Score(&s, r.action(d.job))
+		if r.seen == nil {
+			s := r.state()
+			r.seen = &s
+		}
+		d.choice = r.values.learner.Score(r.seen, r.action(d.job))
 	}
+	d.scored = false
 	r.values.open[attempt{b.ref, n}] = r.values.learner.Take(d.choice)
-	r.log.Debug("job chosen", "job", d.job.Spec.ID, "value", d.choice.Value, "pressing", d.pressing)
+	r.log.Debug("task chosen", "task", b.ref, "value", d.choice.Value, "pressing", d.pressing)
 }
 
 // SizeState gives what the pool's size is chosen in.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"sableusher/internal/config"
+	"sableusher/internal/learn"
 	"sableusher/internal/member"
 	"sableusher/internal/place"
 	"sableusher/internal/store"
@@ -40,6 +41,10 @@
 	unknown map[string]time.Time
 	listed  time.Time
 	arrived map[string]arrival
+
+	chosen   int64 // the size's decision, to be paid
+	choseAt  time.Time
+	fraction float64
 }
 
 // arrival is a job that came lately and the room it takes.
@@ -141,6 +146,53 @@
 type bin struct {
 	kind
 	free world.Amount
+	must bool // for work of high priority, or for the minimum
+}
+
+// learned lets the learner choose how many of the machines that could be rented
+// are. The least is what work of high priority and the minimum need, the most
+// the booked room and the step; between them a choice holds for a while and is
+// then paid by what it led to.
+func (p *Pool) learned(bins []bin) []bin {
+	l := p.engine.Learner()
+	if !p.op.Learn || !l.Warm() {
+		return bins
+	}
+	least := 0
+	for i, b := range bins {
+		if b.must {
+			least = i + 1 // bins stand in order of priority
+		}
+	}
+	if least == len(bins) {
+		return bins
+	}
+	now := time.Now()
+	if now.Sub(p.choseAt) >= config.Seconds(p.op.PoolHoldS) {
+		if p.chosen != 0 {
+			l.Pay(p.chosen, p.engine.SizePayoff())
+		}
+		p.world.RLock()
+		have := len(p.world.Machines)
+		p.world.RUnlock()
+		s := p.engine.SizeState()
+		var choices []learn.Choice
+		best := 0
+		for i, f := range tuning.SizeFractions {
+			size := float64(have+least) + f*float64(len(bins)-least)
+			choices = append(choices, l.Score(&s, &learn.Action{Size: true, Fraction: f, Machines: size}))
+			if choices[i].Value >= choices[best].Value {
+				best = i
+			}
+		}
+		if i, ok := l.Explore(len(choices)); ok {
+			best = i
+		}
+		p.chosen, p.choseAt, p.fraction = l.Take(choices[best]), now, tuning.SizeFractions[best]
+		p.log.Debug("size chosen", "machines", have, "least", least, "most", len(bins), "fraction", p.fraction, "value", choices[best].Value)
+	}
+	keep := least + int(math.Ceil(p.fraction*float64(len(bins)-least)))
+	return bins[:keep]
 }
 
 // size is one look of the leader at the fleet's size.
@@ -163,7 +215,7 @@
 	if time.Since(d.At) > 4*tuning.PlaceIdle {
 		return
 	}
-	bins := p.bins(d)
+	bins := p.learned(p.bins(d))
 	count := map[kind]int{}
 	for _, b := range bins {
 		count[b.kind]++
@@ -195,18 +247,20 @@
 	}
 	now := time.Now()
 	var out []bin
+	late := false // the work at hand has waited so long that its room is no choice any more
 	open := func(s *wire.Spec, zone string, also func(string) bool) *bin {
 		k, ok := p.choose(s, zone, held, now, also)
 		if !ok {
 			return nil
 		}
 		t := p.world.Types[k.typ]
-		out = append(out, bin{k, world.Capacity(&t)})
+		out = append(out, bin{k, world.Capacity(&t), wire.Rank(s.Priority) <= wire.Rank(wire.PriorityHigh) || late})
 		held[k.zone]++
 		return &out[len(out)-1]
 	}
 	for _, g := range d.Groups {
 		s, need := g.Spec, world.Need(g.Spec)
+		late = now.Sub(g.Since) > tuning.StarveAfter
 		zone := s.Zone
 		perZone := map[string]int{}
 		for range g.Count {
@@ -233,10 +287,14 @@
 		}
 	}
 	spare := int(math.Ceil(p.step(now) - d.Room - 0.5))
-	for range max(spare, p.op.PoolMin-total-len(out)) {
-		if open(&wire.Spec{}, "", func(string) bool { return true }) == nil {
+	late = false
+	short := p.op.PoolMin - total - len(out)
+	for i := range max(spare, short) {
+		b := open(&wire.Spec{}, "", func(string) bool { return true })
+		if b == nil {
 			break
 		}
+		b.must = i < short
 	}
 	return out
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -177,6 +177,9 @@
 const (
 	// PoolTick is the interval at which the fleet's size is reviewed.
 	PoolTick = 500 * time.Millisecond
+	// StarveAfter is how long work may wait before room for it is rented whatever
+	// the learner prefers.
+	StarveAfter = 30 * time.Second
 	// ArrivalWindow is the past over which arrivals are watched for the step.
 	ArrivalWindow = 3 * time.Minute
 	// StepDeviations is how many standard deviations of the arrivals of one boot
@@ -280,3 +283,7 @@
 	// want of its workers' reports.
 	GivenHold = 40 * time.Second
 )
+
+// SizeFractions are the sizes the learner chooses among, from the least to the
+// most that the guards allow.
+var SizeFractions = [...]float64{0, 0.25, 0.5, 0.75, 1}
