Guarantees: work within one comes first in its priority and may stop borrowers

Cause: on mazad a tenth of guaranteed work waited more than 10 s behind work that other teams borrow. The log tells now why a job waits.

--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -39,9 +39,10 @@
 	backoff map[string]retry
 	waits   map[world.TaskRef]time.Time // since when a task waits though room was seen
 	forming map[string]time.Time
-	held    map[string]reserve // machines on which room is being freed
-	owned   map[int]time.Time  // since when a part is ours
-	gone    map[string]bool    // machines whose deletion the cloud has confirmed
+	told    map[string]time.Time // when the log last said why a job waits
+	held    map[string]reserve   // machines on which room is being freed
+	owned   map[int]time.Time    // since when a part is ours
+	gone    map[string]bool      // machines whose deletion the cloud has confirmed
 	deaths  []time.Time
 	fenced  map[int]time.Time
 	demand  Demand
@@ -79,7 +80,7 @@
 	return &Engine{
 		set: set, op: op, world: w, member: m, fleet: f, commit: c, quota: quota.New(set.Deployment.Teams, w), log: log,
 		busy: map[string]bool{}, moving: map[uint64]*change{}, backoff: map[string]retry{}, waits: map[world.TaskRef]time.Time{},
-		forming: map[string]time.Time{}, held: map[string]reserve{}, owned: map[int]time.Time{}, gone: map[string]bool{},
+		forming: map[string]time.Time{}, told: map[string]time.Time{}, held: map[string]reserve{}, owned: map[int]time.Time{}, gone: map[string]bool{},
 		fenced: map[int]time.Time{}, reader: reader, peers: peers, vetoes: map[string]veto{},
 		values: values{
 			learner: learn.New(op.LearnRate, op.Discount, op.Exploration, op.ColdPayoffs, m.Inc, log),
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"log/slog"
 	"maps"
 	"math"
 	"slices"
@@ -47,6 +48,7 @@
 	job      *world.Job
 	rank     int
 	deadline time.Time
+	assured  bool // within its team's guarantee
 	pressing bool // its deadline can still be met, but not for long
 	choice   learn.Choice
 	scored   bool
@@ -82,7 +84,34 @@
 	return out
 }
 
+// guarantees finds the jobs that lie within their team's guarantee, together
+// with the team's earlier unfinished jobs.
+func (r *round) guarantees() {
+	r.assured = map[string]bool{}
+	teams := map[string][]*world.Job{}
+	for _, j := range r.world.Jobs {
+		if _, ok := r.quota.Guarantee(j.Spec.Team); ok && j.Known && !j.Cancelled() {
+			teams[j.Spec.Team] = append(teams[j.Spec.Team], j)
+		}
+	}
+	for team, jobs := range teams {
+		slices.SortFunc(jobs, func(a, b *world.Job) int {
+			return cmp.Or(cmp.Compare(a.AtMs, b.AtMs), cmp.Compare(a.Spec.ID, b.Spec.ID))
+		})
+		limit, _ := r.quota.Guarantee(team)
+		var sum world.Amount
+		for _, j := range jobs {
+			sum = sum.Plus(world.Need(&j.Spec), float64(j.Spec.Tasks-j.Done))
+			if sum.Mem = 0; !sum.Within(limit) {
+				break
+			}
+			r.assured[j.Spec.ID] = true
+		}
+	}
+}
+
 func (r *round) queue() []due {
+	r.guarantees()
 	var out []due
 	for id, j := range r.world.Jobs {
 		if !j.Known || j.Cancelled() || j.Pending() == 0 {
@@ -92,7 +121,7 @@
 			continue
 		}
 		deadline, pressing := r.deadline(j)
-		out = append(out, due{job: j, rank: wire.Rank(j.Spec.Priority), deadline: deadline, pressing: pressing})
+		out = append(out, due{job: j, assured: r.assured[id], rank: wire.Rank(j.Spec.Priority), deadline: deadline, pressing: pressing})
 	}
 	r.order(out)
 	if len(r.backoff) > 0 {
@@ -107,6 +136,11 @@
 			delete(r.waits, ref)
 		}
 	}
+	for id := range r.told {
+		if r.world.Jobs[id] == nil {
+			delete(r.told, id)
+		}
+	}
 	for id := range r.forming {
 		if r.world.Jobs[id] == nil {
 			delete(r.forming, id)
@@ -236,6 +270,7 @@
 	j, spec := du.job, &du.job.Spec
 	need := world.Need(spec)
 	if r.busy[world.JobKey(spec.ID)] {
+		r.waiting(j, "a change of its record is on its way", nil)
 		return
 	}
 	limit, limited := r.quota.Limit(spec.Team)
@@ -256,6 +291,7 @@
 			chunk, z = k, r.zones(j, k)
 		}
 		if limited && !total[spec.Team].Plus(need, 1).Within(limit) {
+			r.waiting(j, "team's limit", nil)
 			break // not a want of machines
 		}
 		total[spec.Team] = total[spec.Team].Plus(need, 1)
@@ -271,12 +307,16 @@
 				}
 			}
 		}
+		if n != nil && !n.mine {
+			r.waiting(j, "dealt to another node's machine", n)
+		}
 		if n == nil {
+			r.waiting(j, "no room", nil)
 			n = r.booting(j, need, nodes, &z)
 			if n == nil {
 				missing++
 			}
-			if spec.Priority == wire.PriorityProduction || spec.Priority == wire.PriorityHigh {
+			if du.assured || du.rank <= wire.Rank(wire.PriorityHigh) {
 				r.preempt(du, ref, need, nodes, &z)
 			}
 			if n != nil {
@@ -299,6 +339,19 @@
 	}
 }
 
+// waiting logs now and then why a job waits.
+func (r *round) waiting(j *world.Job, why string, n *node) {
+	if !r.log.Enabled(r.ctx, slog.LevelDebug) || r.now.Sub(r.told[j.Spec.ID]) < tuning.WhyEvery {
+		return
+	}
+	r.told[j.Spec.ID] = r.now
+	machine := ""
+	if n != nil {
+		machine = n.m.Name
+	}
+	r.log.Debug("job waits", "job", j.Spec.ID, "why", why, "machine", machine, "pending", j.Pending())
+}
+
 // rooms counts how many tasks of a kind each part could take.
 func (r *round) rooms(s *wire.Spec, need world.Amount, nodes []*node) map[int]int {
 	out := map[int]int{}
@@ -370,10 +423,12 @@
 	j := du.job
 	team := j.Spec.Team
 	if r.bound >= tuning.RoundTasks || !r.quota.Allowed(n.m.Part, team, r.use(n.m.Part, team).Plus(need, 1)) {
+		r.waiting(j, "its team's grant in this part, or the round is full", n)
 		return false
 	}
 	ed := r.edit(j, i)
 	if ed == nil {
+		r.waiting(j, "a change of its record is on its way", nil)
 		return false
 	}
 	session := r.fleet.Look(n.m.Name, r.tokens[n.m.Part]).Session
@@ -414,13 +469,15 @@
 	if forming {
 		for _, i := range idle {
 			if r.task(j, i).Attempt >= attempt {
-				return // it has lost a task: the rest must leave first
+				r.waiting(j, "its last attempt has not left yet", nil)
+				return
 			}
 		}
 	} else {
 		attempt++
 	}
 	if limit, ok := r.quota.Limit(spec.Team); ok && !total[spec.Team].Plus(need, float64(len(idle))).Within(limit) {
+		r.waiting(j, "team's limit", nil)
 		return
 	}
 	total[spec.Team] = total[spec.Team].Plus(need, float64(len(idle)))
@@ -467,6 +524,7 @@
 		}
 	}
 	if best == nil {
+		r.waiting(j, "no room for all its tasks", nil)
 		missing := 0
 		z := pinned
 		z.count = maps.Clone(pinned.count)
@@ -522,7 +580,7 @@
 		}
 		var list []world.Binding
 		for _, b := range n.m.Bound {
-			if wire.Rank(b.Job.Spec.Priority) > du.rank && b.Job.Spec.Kind != wire.KindService &&
+			if r.yields(&b.Job.Spec, du) && b.Job.Spec.Kind != wire.KindService &&
 				(b.Job.Spec.Kind != wire.KindGang || b.Job.Spec.Tasks == 1) && !b.Job.Cancelled() {
 				list = append(list, b)
 			}
@@ -585,6 +643,18 @@
 	}
 }
 
+// yields tells whether a task may be stopped for a waiting job: it has a lower
+// priority, or another team borrows with it what the job's team is guaranteed.
+func (r *round) yields(s *wire.Spec, du *due) bool {
+	rank := wire.Rank(s.Priority)
+	_, guaranteed := r.quota.Guarantee(s.Team)
+	borrowed := guaranteed && !r.assured[s.ID] && s.Team != du.job.Spec.Team
+	if rank > du.rank {
+		return !r.assured[s.ID] || du.rank <= wire.Rank(wire.PriorityHigh)
+	}
+	return du.assured && borrowed && rank >= du.rank
+}
+
 // cost is the work lost when a task is stopped, in machine seconds.
 func (r *round) cost(b world.Binding, n *node) float64 {
 	t := r.fleet.Fate(b, n.m.Name, r.tokens[n.m.Part])
--- a/internal/place/settle.go
+++ b/internal/place/settle.go
@@ -25,7 +25,9 @@
 	moveM  map[string]world.Amount // on their way, by machine
 	moveP  map[int]map[string]world.Amount
 	bound  int
-	seen   *learn.State // what this round chooses in
+	// assured holds the jobs within their team's guarantee.
+	assured map[string]bool
+	seen    *learn.State // what this round chooses in
 }
 
 // edit gathers the changes of one record of a job.
--- a/internal/place/value.go
+++ b/internal/place/value.go
@@ -161,8 +161,8 @@
 	return s
 }
 
-// order sorts the waiting jobs. Priority comes first and is never crossed; then
-// jobs whose deadline is in danger, by deadline; then the learned values, or
+// order sorts the waiting jobs. Priority comes first and is never crossed, then
+// what lies within its team's guarantee; then jobs whose deadline is in danger, by deadline; then the learned values, or
 // while the learner is cold the earliest deadline and arrival.
 func (r *round) order(list []due) {
 	warm := r.op.Learn && r.values.learner.Warm()
@@ -176,7 +176,7 @@
 		}
 	}
 	slices.SortStableFunc(list, func(a, b due) int {
-		c := cmp.Or(cmp.Compare(a.rank, b.rank), -compareBool(a.pressing, b.pressing))
+		c := cmp.Or(cmp.Compare(a.rank, b.rank), -compareBool(a.assured, b.assured), -compareBool(a.pressing, b.pressing))
 		if c == 0 && a.scored && b.scored && !a.pressing {
 			c = -cmp.Compare(a.choice.Value, b.choice.Value)
 		}
@@ -187,7 +187,9 @@
 	}
 	// A random pick comes first among its equals in priority and danger.
 	if i, ok := r.values.learner.Explore(len(list)); ok {
-		first := slices.IndexFunc(list, func(d due) bool { return d.rank == list[i].rank && d.pressing == list[i].pressing })
+		first := slices.IndexFunc(list, func(d due) bool {
+			return d.rank == list[i].rank && d.assured == list[i].assured && d.pressing == list[i].pressing
+		})
 		r.log.Debug("random pick", "job", list[i].job.Spec.ID)
 		picked := list[i]
 		copy(list[first+1:i+1], list[first:i])
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -163,6 +163,8 @@
 	CommitTimeout = 8 * time.Second
 	// StopMargin is added to a task's saving time when it is stopped.
 	StopMargin = 1 * time.Second
+	// WhyEvery is how often the log tells why a job waits.
+	WhyEvery = 5 * time.Second
 	// UnknownPause is how long placement waits before it fences a write without an answer.
 	UnknownPause = 200 * time.Millisecond
 )
