--- /dev/null
+++ b/internal/intake/intake_test.go
@@ -0,0 +1,178 @@
+package intake
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"sableusher/internal/config"
+	"sableusher/internal/store"
+	"sableusher/internal/tuning"
+	"sableusher/internal/wire"
+	"sableusher/internal/world"
+)
+
+// outside stands in for the state service behind the handlers.
+type outside struct {
+	world   *world.World
+	finals  map[string]world.FinalRecord
+	syncErr error
+	doErr   error
+	barrier func() // what the barrier brings into the view
+	syncs   int
+	done    []store.Item
+}
+
+func (o *outside) Get(_ context.Context, key string) (wire.Row, error) {
+	f, ok := o.finals[key]
+	if !ok {
+		return wire.Row{}, store.ErrNotFound
+	}
+	return wire.Row{Value: wire.MustEncode(f)}, nil
+}
+
+func (o *outside) Do(_ context.Context, it store.Item) (uint64, error) {
+	o.done = append(o.done, it)
+	return 1, o.doErr
+}
+
+func (o *outside) Sync(context.Context) error {
+	o.syncs++
+	if o.barrier != nil {
+		o.barrier()
+	}
+	return o.syncErr
+}
+
+func (o *outside) Fresh() time.Time { return time.Now() }
+
+func (o *outside) Beat(*wire.Report) (int, any) { return http.StatusOK, wire.Orders{Token: 1} }
+
+func (o *outside) put(key string, v any) {
+	o.world.Begin()
+	o.world.Put(key, wire.MustEncode(v), 7)
+	o.world.Flush()
+}
+
+func spec() wire.Spec {
+	return wire.Spec{ID: "run-000001", Class: "c", Team: "t", Kind: wire.KindArray, Priority: wire.PriorityNormal, Tasks: 2,
+		CPUs: 4, GPUs: 1, MemoryGB: 8, Image: "i", ImageGB: 1}
+}
+
+func setup(catalog bool) (*outside, http.Handler) {
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	o := &outside{world: world.New(3, log), finals: map[string]world.FinalRecord{}}
+	set := &config.Settings{}
+	set.Deployment.Teams = []config.Team{{Name: "t", GPUsMax: 2}}
+	if catalog {
+		o.put(world.CatalogKey, wire.Catalog{Types: []wire.MachineType{{Name: "m", CPUs: 8, GPUs: 2, MemoryGB: 64, Zones: []string{"z"}}}})
+	}
+	return o, New(set, o.world, o, o, o, o, log).Handler()
+}
+
+func ask(h http.Handler, method, path string, body []byte) (int, wire.Status) {
+	rec := httptest.NewRecorder()
+	h.ServeHTTP(rec, httptest.NewRequest(method, path, bytes.NewReader(body)))
+	var st wire.Status
+	_ = wire.Decode(rec.Body.Bytes(), &st)
+	if rec.Code == http.StatusServiceUnavailable && rec.Header().Get("Retry-After") == "" {
+		return -1, st
+	}
+	return rec.Code, st
+}
+
+func TestSubmissions(t *testing.T) {
+	change := func(f func(*wire.Spec)) []byte {
+		s := spec()
+		f(&s)
+		return wire.MustEncode(s)
+	}
+	same := change(func(*wire.Spec) {})
+	over := world.FinalRecord{Status: wire.JobDone, Tasks: 2, Done: 2}
+	for name, c := range map[string]struct {
+		body  []byte
+		set   func(*outside)
+		bare  bool
+		want  int
+		state string
+	}{
+		"accepted":         {same, nil, false, 201, wire.JobPending},
+		"not cbor":         {[]byte("{}"), nil, false, 400, ""},
+		"too large":        {append(same, make([]byte, tuning.BodyLimit)...), nil, false, 400, ""},
+		"unknown team":     {change(func(s *wire.Spec) { s.Team = "x" }), nil, false, 422, ""},
+		"fits nowhere":     {change(func(s *wire.Spec) { s.CPUs = 9 }), nil, false, 422, ""},
+		"no such zone":     {change(func(s *wire.Spec) { s.Zone = "x" }), nil, false, 422, ""},
+		"gang over limit":  {change(func(s *wire.Spec) { s.Kind, s.Tasks = wire.KindGang, 3 }), nil, false, 422, ""},
+		"array over limit": {change(func(s *wire.Spec) { s.Tasks = 300 }), nil, false, 201, wire.JobPending},
+		"types unknown":    {same, nil, true, 503, ""},
+		"state away":       {same, func(o *outside) { o.doErr = store.ErrUnavailable }, false, 503, ""},
+		"no answer":        {same, func(o *outside) { o.doErr = store.ErrUnknown }, false, 503, ""},
+		"repeated later": {same, func(o *outside) {
+			o.doErr = store.ErrGuard
+			o.finals[world.FinalKey("run-000001")] = over
+		}, false, 200, wire.JobDone},
+		// The first body stands, even if the repeated one could never run.
+		"repeated otherwise": {change(func(s *wire.Spec) { s.CPUs = 99 }), func(o *outside) {
+			o.finals[world.FinalKey("run-000001")] = over
+		}, false, 200, wire.JobDone},
+		"repeated otherwise, unsure": {change(func(s *wire.Spec) { s.CPUs = 99 }), func(o *outside) { o.syncErr = store.ErrUnavailable }, false, 503, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o, h := setup(!c.bare)
+			if c.set != nil {
+				c.set(o)
+			}
+			if status, st := ask(h, http.MethodPost, "/v1/jobs", c.body); status != c.want || st.Status != c.state {
+				t.Errorf("%d %q, want %d %q", status, st.Status, c.want, c.state)
+			}
+		})
+	}
+}
+
+func TestPolls(t *testing.T) {
+	o, h := setup(true)
+	if status, _ := ask(h, http.MethodGet, "/v1/jobs/run-000009", nil); status != 404 || o.syncs != 1 {
+		t.Errorf("unknown job: %d after %d barriers", status, o.syncs)
+	}
+	o.syncErr = store.ErrUnavailable
+	if status, _ := ask(h, http.MethodGet, "/v1/jobs/run-000009", nil); status != 503 {
+		t.Errorf("unsure: %d", status)
+	}
+	o.syncErr = nil
+	// The view lags: only the barrier brings the cancellation another node told.
+	o.put(world.JobKey("run-000001"), world.JobRecord{Spec: spec()})
+	o.barrier = func() { o.put(world.JobKey("run-000001"), world.JobRecord{Spec: spec(), CancelMs: 5}) }
+	if status, st := ask(h, http.MethodGet, "/v1/jobs/run-000001", nil); status != 200 || st.Status != wire.JobCancelled {
+		t.Errorf("%d %q", status, st.Status)
+	}
+	if status, _ := ask(h, http.MethodGet, "/v1/jobs/nonsense", nil); status != 404 {
+		t.Errorf("bad id: %d", status)
+	}
+}
+
+func TestCancellations(t *testing.T) {
+	o, h := setup(true)
+	if status, _ := ask(h, http.MethodPost, "/v1/jobs/run-000009/abort", nil); status != 404 {
+		t.Errorf("unknown job: %d", status)
+	}
+	o.finals[world.FinalKey("run-000002")] = world.FinalRecord{Status: wire.JobDone}
+	if status, st := ask(h, http.MethodPost, "/v1/jobs/run-000002/abort", nil); status != 200 || st.Status != wire.JobDone {
+		t.Errorf("done job: %d %q", status, st.Status)
+	}
+	o.put(world.JobKey("run-000001"), world.JobRecord{Spec: spec()})
+	if status, st := ask(h, http.MethodPost, "/v1/jobs/run-000001/abort", nil); status != 200 || st.Status != wire.JobCancelled || len(o.done) != 1 {
+		t.Errorf("live job: %d %q, %d writes", status, st.Status, len(o.done))
+	}
+	if g := o.done[0].Guards; len(g) != 1 || g[0].Stamp != 7 {
+		t.Errorf("guards %+v", g)
+	}
+	o.doErr = store.ErrUnknown
+	if status, _ := ask(h, http.MethodPost, "/v1/jobs/run-000001/abort", nil); status != 503 {
+		t.Errorf("no answer: %d", status)
+	}
+}
--- a/internal/place/settle.go
+++ b/internal/place/settle.go
@@ -449,6 +449,9 @@
 			if age > stuck && typ.Name != "" {
 				list = append(list, due{m, "never came up", false})
 			}
+		case r.now.Sub(last) > probeAfter && r.late(m):
+			// No cap and no vote can keep a cancelled task beyond its time.
+			list = append(list, due{m, "silent with a cancelled task", false})
 		case r.now.Sub(last) > probeAfter && r.now.Sub(last) <= deadAfter:
 			r.fleet.Kick(name)
 		case r.now.Sub(last) > deadAfter:
@@ -491,6 +494,19 @@
 	}
 }
 
+// late tells whether a machine holds a task whose cancellation was told so long
+// ago that only the machine's deletion ends it in time: a worker that hangs does
+// not end its tasks with its lease.
+func (r *round) late(m *world.Machine) bool {
+	limit := time.Duration(tuning.CancelShare * float64(r.set.Cancel()))
+	for _, b := range m.Bound {
+		if b.Job.Cancelled() && r.now.Sub(time.UnixMilli(b.Job.CancelMs)) > limit {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *round) unwanted(m *world.Machine) bool {
 	for _, b := range m.Bound {
 		if r.fleet.Stopping(b) {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -128,6 +128,9 @@
 	DeadCap = 0.15
 	// DeadWindow is the window of DeadCap.
 	DeadWindow = 20 * time.Second
+	// CancelShare of a cancellation's time may pass before a silent machine is
+	// deleted for it, whatever else speaks for waiting; clocks differ by milliseconds.
+	CancelShare = 0.5
 	// FenceEvery is the shortest time between two raises of a part's token for launches in doubt.
 	FenceEvery = 5 * time.Second
 	// MachineErrors is how many tasks of different jobs must fail on a machine before it is replaced.
--- /dev/null
+++ b/internal/world/world_test.go
@@ -0,0 +1,124 @@
+package world
+
+import (
+	"io"
+	"log/slog"
+	"math"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"sableusher/internal/tuning"
+	"sableusher/internal/wire"
+)
+
+// TestIndexesFollowRecords puts and drops records in generated orders and
+// compares the indexes with a count from scratch.
+func TestIndexesFollowRecords(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const size = 3
+		w := New(size, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		ids := []string{"run-1", "run-2"}
+		machines := []string{"vm-1", "vm-2", "vm-3"}
+		tasks := func(base, n int) []Task {
+			var out []Task
+			for i := range n {
+				if rapid.Bool().Draw(t, "skip") {
+					continue
+				}
+				k := Task{Index: base + i, State: rapid.IntRange(Idle, Done).Draw(t, "state"), Attempt: 1}
+				if k.State == Bound {
+					k.Machine = rapid.SampledFrom(machines).Draw(t, "machine")
+				}
+				out = append(out, k)
+			}
+			return out
+		}
+		for rev := range uint64(rapid.IntRange(1, 60).Draw(t, "steps")) {
+			id := rapid.SampledFrom(ids).Draw(t, "job")
+			w.Begin()
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0:
+				w.Put(JobKey(id), wire.MustEncode(JobRecord{Spec: wire.Spec{ID: id, Team: "t", Tasks: tuning.ChunkTasks + 3, GPUs: 1}, Tasks: tasks(0, 4)}), rev+1)
+			case 1:
+				w.Put(ChunkKey(id, 1), wire.MustEncode(ChunkRecord{tasks(tuning.ChunkTasks, 3)}), rev+1)
+			case 2:
+				w.Drop(JobKey(id))
+			case 3:
+				w.Drop(ChunkKey(id, 1))
+			case 4:
+				w.Put(MachineKey(rapid.SampledFrom(machines).Draw(t, "m")), wire.MustEncode(MachineRecord{Type: "x"}), rev+1)
+			case 5:
+				w.Drop(MachineKey(rapid.SampledFrom(machines).Draw(t, "m")))
+			}
+			w.Flush()
+			use := make([]float64, size)
+			on := map[string]int{}
+			for _, j := range w.Jobs {
+				if !j.Known {
+					continue
+				}
+				bound, done := 0, 0
+				j.Each(func(k Task) {
+					switch k.State {
+					case Bound:
+						bound++
+						on[k.Machine]++
+						use[PartOf(k.Machine, size)]++
+					case Done:
+						done++
+					}
+				})
+				if bound != j.Bound || done != j.Done {
+					t.Fatalf("job counts %d/%d, want %d/%d", j.Bound, j.Done, bound, done)
+				}
+			}
+			for p := range size {
+				if got := w.Usage[p]["t"].GPUs; math.Abs(got-use[p]) > 1e-9 {
+					t.Fatalf("part %d uses %v, want %v", p, got, use[p])
+				}
+			}
+			for _, name := range machines {
+				got := len(w.Orphans[name])
+				if m := w.Machines[name]; m != nil {
+					got = len(m.Bound)
+					if math.Abs(m.Used.GPUs-float64(on[name])) > 1e-9 {
+						t.Fatalf("%s: used %v, want %d", name, m.Used.GPUs, on[name])
+					}
+					if w.Orphans[name] != nil {
+						t.Fatalf("%s is known and orphaned", name)
+					}
+				}
+				if got != on[name] {
+					t.Fatalf("%s holds %d tasks, want %d", name, got, on[name])
+				}
+			}
+		}
+	})
+}
+
+// TestLargestRecordFits: a full record stays within the smallest value limit
+// seen (16 KiB as JSON), whatever its tasks have gone through.
+func TestLargestRecordFits(t *testing.T) {
+	j := &Job{Known: true, JobRecord: JobRecord{Spec: wire.Spec{ID: "run-00000000000000000001", Tasks: tuning.MaxTasks}}}
+	change := map[int]Task{}
+	for i := tuning.ChunkTasks; i < 2*tuning.ChunkTasks; i++ {
+		change[i] = Task{Index: tuning.MaxTasks, State: Bound, Attempt: 1 << 20, Machine: "vm-000000231", Session: 1 << 20}
+	}
+	if _, raw := j.Encode(1, change); float64(len(raw)) > tuning.ValueFraction*16*1024 {
+		t.Fatalf("%d bytes", len(raw))
+	}
+}
+
+// TestPartsAreEven: names that count up must not crowd into one part.
+func TestPartsAreEven(t *testing.T) {
+	count := make([]int, 3)
+	for i := range 300 {
+		count[PartOf("vm-"+string(rune('0'+i/100))+string(rune('0'+i/10%10))+string(rune('0'+i%10)), 3)]++
+	}
+	for p, c := range count {
+		if c < 70 || c > 130 {
+			t.Errorf("part %d has %d of 300", p, c)
+		}
+	}
+}
