--- a/internal/standin/region_test.go
+++ b/internal/standin/region_test.go
@@ -145,6 +145,7 @@
 // play runs a day of generated jobs and troubles and gives what broke.
 func play(t *testing.T, seed uint64, troubles int) *Region {
 	rnd := rand.New(rand.NewPCG(seed, 7))
+	start := time.Now()
 	ctx, cancel := context.WithCancel(context.Background())
 	var out io.Writer = io.Discard
 	if os.Getenv("STANDIN_LOG") != "" {
@@ -170,7 +171,8 @@
 		what := fault(r, rnd)
 		log.Info("TROUBLE", "what", what)
 	}
-	for range 90 { // time to finish all
+	time.Sleep(5*time.Minute - time.Since(start)) // all jobs are submitted by then
+	for range 90 {                                // time to finish all
 		time.Sleep(5 * time.Second)
 		if len(r.Oracle.Unfinished()) == 0 {
 			break
--- a/internal/standin/user.go
+++ b/internal/standin/user.go
@@ -56,6 +56,7 @@
 			status, state := r.call(ctx, http.MethodPost, "/v1/jobs/"+spec.ID+"/abort", nil, 5*time.Second)
 			r.Oracle.Answer(spec.ID, status, state)
 			cancelled = status == 200
+			r.Log.Debug("user cancels", "job", spec.ID, "answer", status, "state", state)
 			continue
 		}
 		if time.Now().After(again) {
