Long jobs: records that are settled are skipped, gangs longer than a transaction form record by record

A refused transaction no longer fences its part, an answer carries at most 400 commands. Test: an array of 700 tasks in one zone and a gang of 300.

--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -154,6 +154,9 @@
 	wish func(b world.Binding) (Wish, bool), token, seq uint64, now time.Time) []wire.Order {
 	var out []wire.Order
 	for k, s := range m.tasks {
+		if len(out) >= tuning.OrdersMax {
+			return out // the rest follows with the next answer
+		}
 		b, ok := bound[k.ref]
 		here := ok && b.Attempt == k.attempt && b.Session == m.session
 		if here {
@@ -184,6 +187,9 @@
 		}
 	}
 	for ref, b := range bound {
+		if len(out) >= tuning.OrdersMax {
+			break
+		}
 		if b.Session != m.session {
 			continue
 		}
--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -178,7 +178,9 @@
 	ctx, cancel := context.WithTimeout(e.ctx, tuning.CommitTimeout)
 	rev, err := e.commit.Do(ctx, c.item)
 	cancel()
-	if err != nil && !errors.Is(err, store.ErrGuard) && !errors.Is(err, store.ErrUnavailable) {
+	if errors.Is(err, store.ErrRefused) {
+		e.log.Error("change refused as malformed", "what", c.what, "err", err)
+	} else if err != nil && !errors.Is(err, store.ErrGuard) && !errors.Is(err, store.ErrUnavailable) {
 		e.log.Info("change without an answer", "what", c.what, "err", err)
 		for _, p := range c.parts {
 			e.member.Fence(e.ctx, p, false)
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -283,6 +283,10 @@
 	var z zones
 	chunk := -1
 	for i := 0; i < spec.Tasks && looked < tuning.JobSlice; i++ {
+		if i%tuning.ChunkTasks == 0 && j.Settled(i/tuning.ChunkTasks) {
+			i += tuning.ChunkTasks - 1 // nothing waits in this record
+			continue
+		}
 		if r.task(j, i).State != world.Idle {
 			continue
 		}
--- a/internal/place/settle.go
+++ b/internal/place/settle.go
@@ -20,16 +20,29 @@
 	now    time.Time
 	tokens map[int]uint64
 	stamps map[int]uint64
-	edits  map[string]*edit
+	edits  map[editKey]*edit
 	out    []*change
 	moveM  map[string]world.Amount // on their way, by machine
 	moveP  map[int]map[string]world.Amount
 	bound  int
+	gangs  map[gangKey]bool // whether an attempt is broken, looked at once a round
 	// assured holds the jobs within their team's guarantee.
 	assured map[string]bool
 	seen    *learn.State // what this round chooses in
 }
 
+// editKey names one record of a job.
+type editKey struct {
+	job *world.Job
+	k   int
+}
+
+// gangKey names one attempt of a gang.
+type gangKey struct {
+	job     *world.Job
+	attempt uint64
+}
+
 // edit gathers the changes of one record of a job.
 type edit struct {
 	job   *world.Job
@@ -40,7 +53,7 @@
 }
 
 func (e *Engine) newRound(now time.Time) *round {
-	r := &round{Engine: e, now: now, tokens: map[int]uint64{}, stamps: map[int]uint64{}, edits: map[string]*edit{},
+	r := &round{Engine: e, now: now, tokens: map[int]uint64{}, stamps: map[int]uint64{}, edits: map[editKey]*edit{}, gangs: map[gangKey]bool{},
 		moveM: map[string]world.Amount{}, moveP: map[int]map[string]world.Amount{}}
 	for p := range e.world.Size {
 		r.moveP[p] = map[string]world.Amount{}
@@ -91,17 +104,17 @@
 	if r.busy[key] || k > 0 && r.busy[recordKey(j, 0)] && j.Spec.OneZone {
 		return nil
 	}
-	ed := r.edits[key]
+	ed := r.edits[editKey{j, k}]
 	if ed == nil {
 		ed = &edit{job: j, k: k, tasks: map[int]world.Task{}, parts: map[int]bool{}}
-		r.edits[key] = ed
+		r.edits[editKey{j, k}] = ed
 	}
 	return ed
 }
 
 // task is a task's state with this round's changes.
 func (r *round) task(j *world.Job, i int) world.Task {
-	if ed := r.edits[recordKey(j, i/tuning.ChunkTasks)]; ed != nil {
+	if ed := r.edits[editKey{j, i / tuning.ChunkTasks}]; ed != nil {
 		if t, ok := ed.tasks[i]; ok {
 			return t
 		}
@@ -236,6 +249,16 @@
 // broken tells whether a gang's attempt can no longer run whole: a task of it
 // has ended, or it was not bound whole in time.
 func (r *round) broken(b world.Binding) bool {
+	k := gangKey{b.Job, b.Attempt}
+	is, ok := r.gangs[k]
+	if !ok {
+		is = r.lookBroken(b)
+		r.gangs[k] = is
+	}
+	return is
+}
+
+func (r *round) lookBroken(b world.Binding) bool {
 	j := b.Job
 	whole := true
 	for i := range j.Spec.Tasks {
@@ -260,7 +283,7 @@
 		r.forming[j.Spec.ID] = r.now
 		return false
 	}
-	return r.now.Sub(since) > tuning.GangForm
+	return r.now.Sub(since) > tuning.GangForm+time.Duration(j.Spec.Tasks)*tuning.GangFormTask
 }
 
 // final gives the ops that turn a job's records into its final one.
@@ -322,8 +345,10 @@
 	}
 	for id, eds := range byJob {
 		j := eds[0].job
-		if j.Spec.Kind == wire.KindGang && len(eds) > 1 {
-			r.emit(id, j, eds) // a gang's tasks are bound together
+		if j.Spec.Kind == wire.KindGang && len(eds) > 1 && len(eds) <= tuning.GangRecords {
+			// A gang's tasks are bound together. One too long for a transaction is
+			// bound record by record and withdrawn if it does not become whole.
+			r.emit(id, j, eds)
 			continue
 		}
 		for _, ed := range eds {
--- a/internal/standin/region_test.go
+++ b/internal/standin/region_test.go
@@ -213,6 +213,34 @@
 	}
 }
 
+// TestLongJobs runs jobs whose tasks take several records: an array and a gang
+// of tiny tasks, bound over many rounds.
+func TestLongJobs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		log := slog.New(slog.NewTextHandler(io.Discard, nil))
+		r := NewRegion(ctx, testSettings(0), testTypes, 5, rand.New(rand.NewPCG(3, 8)), log)
+		for i := range 3 {
+			r.Add(testSettings(i))
+		}
+		for i, kind := range []string{wire.KindArray, wire.KindGang} {
+			spec := wire.Spec{ID: fmt.Sprintf("run-%06d", i+1), Class: "c", Team: "open", Kind: kind, Priority: wire.PriorityNormal,
+				Tasks: 700 - 400*i, CPUs: 0.05, MemoryGB: 0.1, Image: "img", ImageGB: 1, EstimateS: 5, OneZone: i == 0}
+			r.wg.Go(func() { r.User(ctx, spec, 5, 0) })
+		}
+		time.Sleep(4 * time.Minute)
+		cancel()
+		r.Wait()
+		time.Sleep(3 * time.Minute)
+		if len(r.Oracle.Broken)+len(r.State.Broken) > 0 {
+			t.Errorf("broken: %v %v", r.Oracle.Broken, r.State.Broken)
+		}
+		if left := r.Oracle.Unfinished(); len(left) > 0 || r.Oracle.Starts < 1000 {
+			t.Errorf("never finished: %v, %d starts", left, r.Oracle.Starts)
+		}
+	})
+}
+
 // TestOracleSeesEachRule plays one small defect for each rule: an oracle that
 // can't fail would prove nothing.
 func TestOracleSeesEachRule(t *testing.T) {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -110,6 +110,9 @@
 	ClockDrift = 0.0005
 	// OrderTimeout is how long a direct command may take.
 	OrderTimeout = 3 * time.Second
+	// OrdersMax bounds the commands of one answer: a command takes up to 100 bytes
+	// as JSON, and a body 64 KiB.
+	OrdersMax = 400
 	// OrderLanes is how many direct commands a node has in flight.
 	OrderLanes = 32
 	// StrayAfter is how long a task that no record knows may be reported before
@@ -158,6 +161,11 @@
 	PreemptHold = 12 * time.Second
 	// GangForm is how long a gang may take to be bound whole before it is withdrawn.
 	GangForm = 6 * time.Second
+	// GangFormTask is added to it for each task, as one round binds a part of a long gang.
+	GangFormTask = 2 * time.Millisecond
+	// GangRecords is how many records of a gang are bound in one transaction: at
+	// some 6 KiB each they stay within its size.
+	GangRecords = 4
 	// JobSlice is how many of a job's waiting tasks one round looks at.
 	JobSlice = 256
 	// NoDeadline stands for the deadline of jobs without one, after their arrival.
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -14,6 +14,7 @@
 type Chunk struct {
 	Stamp uint64
 	Tasks []Task // by position; empty until a task of it was bound
+	idle  int    // tasks neither bound nor done
 }
 
 // Job is a live job.
@@ -42,6 +43,11 @@
 	return Task{Index: i}
 }
 
+// Settled tells whether no task of a record waits.
+func (j *Job) Settled(k int) bool {
+	return k < len(j.Chunks) && len(j.Chunks[k].Tasks) > 0 && j.Chunks[k].idle == 0
+}
+
 // Each calls f for every task that was ever bound.
 func (j *Job) Each(f func(Task)) {
 	for k := range j.Chunks {
@@ -302,8 +308,12 @@
 			c.Tasks[i] = t
 		}
 	}
+	c.idle = 0
 	for _, t := range c.Tasks {
 		w.index(j, t, 1)
+		if t.State == Idle {
+			c.idle++
+		}
 	}
 }
 
