--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -41,10 +40,7 @@
 // New makes the fleet; fresh tells as of when the view is complete.
 func New(set *config.Settings, w *world.World, mem *member.Member, fresh func() time.Time, log *slog.Logger, rt http.RoundTripper) *Fleet {
 	if rt == nil {
-		rt = &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: tuning.OrderTimeout}).DialContext,
-			MaxIdleConnsPerHost: 1, IdleConnTimeout: tuning.IdleTimeout, DisableCompression: true,
-		}
+		rt = wire.Transport(tuning.OrderTimeout, 1)
 	}
 	return &Fleet{
 		set: set, world: w, member: mem, fresh: fresh, log: log,
--- a/internal/pool/cloud.go
+++ b/internal/pool/cloud.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 
@@ -37,10 +36,7 @@
 // NewCloud makes a client of the cloud at addr.
 func NewCloud(addr string, rps float64, rt http.RoundTripper) *Cloud {
 	if rt == nil {
-		rt = &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: tuning.CloudTimeout}).DialContext,
-			MaxIdleConnsPerHost: 2, IdleConnTimeout: tuning.IdleTimeout, DisableCompression: true,
-		}
+		rt = wire.Transport(tuning.CloudTimeout, tuning.IdleConns)
 	}
 	return &Cloud{base: "http://" + addr, http: &http.Client{Transport: rt}, pace: rate.NewLimiter(rate.Limit(rps), max(1, int(rps)))}
 }
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -55,12 +55,7 @@
 // NewClient makes a client of the service at addr.
 func NewClient(addr string, l Limits, rt http.RoundTripper) *Client {
 	if rt == nil {
-		rt = &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: tuning.StateTimeout}).DialContext,
-			MaxIdleConnsPerHost: tuning.IdleConns,
-			IdleConnTimeout:     tuning.IdleTimeout,
-			DisableCompression:  true,
-		}
+		rt = wire.Transport(tuning.StateTimeout, tuning.IdleConns)
 	}
 	burst := max(int(l.WriteRPS), l.TxnOps)
 	return &Client{
