--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -165,7 +166,19 @@
 	num("deployment.machine_limits.cpu_share", d.Limits.CPUShare, 0.01, 1024)
 	num("deployment.machine_limits.mem_mb", d.Limits.MemMB, 32, 1e7)
 	num("deployment.machine_limits.max_sockets", float64(d.Limits.MaxSockets), 32, 1e7)
-	return errors.Join(errs...)
+	return oneLine(errs)
+}
+
+// oneLine joins faults so that a failed start is told in a single line.
+func oneLine(errs []error) error {
+	if len(errs) == 0 {
+		return nil
+	}
+	parts := make([]string, len(errs))
+	for i, err := range errs {
+		parts[i] = err.Error()
+	}
+	return errors.New(strings.Join(parts, "; "))
 }
 
 // Nodes lists all nodes by name, in the order every node agrees on.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -59,6 +59,9 @@
 			t.Errorf("without %s: %v", c[0], err)
 		}
 	}
+	if _, err := Parse([]byte(`node_name = "a"`)); err == nil || strings.Contains(err.Error(), "\n") {
+		t.Errorf("many faults are told in one line: %v", err)
+	}
 	for from, to := range map[string]string{"cancel_s = 44.0": "cancel_s = 20.0", "write_rps = 80.0": "write_rps = nan", `node_name = "n1"`: `node_name = "n0"`} {
 		if _, err := Parse([]byte(strings.Replace(good, from, to, 1))); err == nil {
 			t.Errorf("%s was taken", to)
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -76,7 +76,7 @@
 	num("pool-step", float64(op.PoolStep), 0, 1000)
 	num("pool-hold-s", op.PoolHoldS, 0, 86400)
 	num("refit-s", op.RefitS, 0.5, 3600)
-	if err := errors.Join(errs...); err != nil {
+	if err := oneLine(errs); err != nil {
 		return nil, fmt.Errorf("operators' settings: %w", err)
 	}
 	return &op, nil
