--- a/internal/place/settle.go
+++ b/internal/place/settle.go
@@ -485,6 +485,9 @@
 		case len(m.Bound) == 0 && r.moveM[name] == (world.Amount{}) && (m.Drain || s.Errors >= tuning.MachineErrors):
 			list = append(list, due{m, "drained", false})
 		}
+		if !s.Recall.IsZero() {
+			r.evacuate(m)
+		}
 		if s.Doubt && r.unwanted(m) && r.now.Sub(r.fenced[m.Part]) > tuning.FenceEvery {
 			// A start in doubt could still run a task that must not: raise the token.
 			r.fenced[m.Part] = r.now
@@ -519,6 +522,22 @@
 	}
 }
 
+// evacuate stops what gains by it on a machine that the cloud takes away: tasks
+// that can save do so, services start again elsewhere at once. What can't save
+// may still end in time, and a gang of several tasks must be stopped as a whole.
+func (r *round) evacuate(m *world.Machine) {
+	for _, b := range m.Bound {
+		s := &b.Job.Spec
+		switch {
+		case r.fleet.Stopping(b) || s.Kind == wire.KindGang && s.Tasks > 1:
+		case s.CheckpointS > 0:
+			r.fleet.Stop(b, m.Name, graced(s))
+		case s.Kind == wire.KindService:
+			r.fleet.Stop(b, m.Name, 0)
+		}
+	}
+}
+
 // late tells whether a machine holds a task whose cancellation was told so long
 // ago that only the machine's deletion ends it in time: a worker that hangs does
 // not end its tasks with its lease.
