--- a/internal/standin/region_test.go
+++ b/internal/standin/region_test.go
@@ -213,8 +213,8 @@
 	}
 }
 
-// TestLongJobs runs jobs whose tasks take several records: an array and a gang
-// of tiny tasks, bound over many rounds.
+// TestLongJobs runs jobs whose tasks take several records, an array and a gang
+// of tiny tasks bound over many rounds, and a gang that no single part can hold.
 func TestLongJobs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -228,6 +228,11 @@
 				Tasks: 700 - 400*i, CPUs: 0.05, MemoryGB: 0.1, Image: "img", ImageGB: 1, EstimateS: 5, OneZone: i == 0}
 			r.wg.Go(func() { r.User(ctx, spec, 5, 0) })
 		}
+		// Nine whole machines: more than any part can have, so the gang would starve
+		// if only one part's machines counted.
+		wide := wire.Spec{ID: "run-000003", Class: "c", Team: "open", Kind: wire.KindGang, Priority: wire.PriorityHigh,
+			Tasks: 9, CPUs: 32, GPUs: 4, MemoryGB: 200, Image: "img", ImageGB: 1, EstimateS: 5}
+		r.wg.Go(func() { r.User(ctx, wide, 5, 0) })
 		time.Sleep(4 * time.Minute)
 		cancel()
 		r.Wait()
