Gangs of several tasks save and stop as a whole when a machine is taken away

The stop is a mark on the job's record, so that every owner tells its workers within the time a gang's saves must begin in.

--- a/internal/place/settle.go
+++ b/internal/place/settle.go
@@ -202,6 +202,9 @@
 		r.exited(b, name, t)
 		return
 	}
+	if spec.Kind == wire.KindGang && b.Job.Yield == b.Attempt && t.Fate != fleet.Lost {
+		r.fleet.Stop(b, name, graced(spec))
+	}
 	if t.Fate != fleet.Lost && spec.Kind == wire.KindGang && !r.fleet.Stopping(b) && r.broken(b) {
 		r.fleet.Stop(b, name, 0)
 	}
@@ -529,7 +532,11 @@
 	for _, b := range m.Bound {
 		s := &b.Job.Spec
 		switch {
-		case r.fleet.Stopping(b) || s.Kind == wire.KindGang && s.Tasks > 1:
+		case r.fleet.Stopping(b):
+		case s.Kind == wire.KindGang && s.Tasks > 1:
+			if s.CheckpointS > 0 {
+				r.yield(b, m)
+			}
 		case s.CheckpointS > 0:
 			r.fleet.Stop(b, m.Name, graced(s))
 		case s.Kind == wire.KindService:
@@ -538,6 +545,27 @@
 	}
 }
 
+// yield marks a gang's attempt to be stopped as a whole. The owners of all its
+// tasks see the record at once and tell their workers within the time in which a
+// gang's saves must begin.
+func (r *round) yield(b world.Binding, m *world.Machine) {
+	key := world.JobKey(b.Ref.Job)
+	if b.Job.Yield == b.Attempt || r.busy[key] || r.edits[editKey{b.Job, 0}] != nil {
+		return
+	}
+	r.busy[key] = true
+	marked := *b.Job
+	marked.Yield = b.Attempt
+	_, raw := marked.Encode(0, nil)
+	r.out = append(r.out, &change{
+		what: "stop gang " + b.Ref.Job, keys: []string{key}, parts: []int{m.Part},
+		item: store.Item{
+			Guards: []wire.Guard{{Key: key, Stamp: b.Job.Stamp}, {Key: world.PartKey(m.Part), Stamp: r.stamps[m.Part]}},
+			Ops:    []wire.Op{{Set: key, Value: raw}}, Urgent: true,
+		},
+	})
+}
+
 // late tells whether a machine holds a task whose cancellation was told so long
 // ago that only the machine's deletion ends it in time: a worker that hangs does
 // not end its tasks with its lease.
--- a/internal/world/records.go
+++ b/internal/world/records.go
@@ -95,6 +95,7 @@
 	Spec     wire.Spec `cbor:"s"`
 	AtMs     int64     `cbor:"t"`
 	CancelMs int64     `cbor:"x,omitempty"`
+	Yield    uint64    `cbor:"y,omitempty"` // a gang's attempt that is to save and stop as a whole
 	Tasks    []Task    `cbor:"k,omitempty"`
 }
 
