--- a/internal/standin/region_test.go
+++ b/internal/standin/region_test.go
@@ -246,6 +246,48 @@
 	})
 }
 
+// TestGangSavesAsAWhole: when the cloud takes one of a gang's machines away, all
+// its tasks save, and the next attempt goes on from there.
+func TestGangSavesAsAWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		r := NewRegion(ctx, testSettings(0), testTypes, 5, rand.New(rand.NewPCG(5, 8)), slog.New(slog.NewTextHandler(io.Discard, nil)))
+		for i := range 3 {
+			r.Add(testSettings(i))
+		}
+		spec := wire.Spec{ID: "run-000001", Class: "c", Team: "open", Kind: wire.KindGang, Priority: wire.PriorityHigh, Tasks: 2,
+			CPUs: 32, GPUs: 4, MemoryGB: 200, Image: "img", ImageGB: 1, EstimateS: 60, Spot: true, CheckpointS: 10, SaveS: 3}
+		r.wg.Go(func() { r.User(ctx, spec, 90, 0) })
+		time.Sleep(60 * time.Second)
+		r.mu.Lock()
+		name := ""
+		for n, w := range r.workers {
+			for _, x := range w.tasks {
+				if w.spot && x.State == wire.TaskRunning {
+					name = n
+				}
+			}
+		}
+		r.mu.Unlock()
+		if name == "" {
+			t.Error("the gang does not run")
+		}
+		r.Take(name, 10*time.Second)
+		time.Sleep(4 * time.Minute)
+		cancel()
+		r.Wait()
+		time.Sleep(3 * time.Minute)
+		for i := range 2 {
+			if !r.saved[world.TaskRef{Job: spec.ID, Index: i}] {
+				t.Errorf("task %d did not save", i)
+			}
+		}
+		if left := r.Oracle.Unfinished(); len(left)+len(r.Oracle.Broken) > 0 {
+			t.Errorf("never finished: %v; broken: %v", left, r.Oracle.Broken)
+		}
+	})
+}
+
 // TestOracleSeesEachRule plays one small defect for each rule: an oracle that
 // can't fail would prove nothing.
 func TestOracleSeesEachRule(t *testing.T) {
