--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -147,7 +147,7 @@
 	if w, ok := f.wishes[k]; ok && w.GraceS <= graceS {
 		return
 	}
-	f.wishes[k] = Wish{Stop: true, GraceS: graceS, At: time.Now()}
+	f.wishes[k] = Wish{GraceS: graceS, At: time.Now()}
 	f.kick(machine)
 }
 
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -142,7 +142,6 @@
 
 // Wish is what the node wants of a bound task.
 type Wish struct {
-	Stop   bool
 	GraceS float64
 	At     time.Time
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -208,7 +209,7 @@
 		return ""
 	}
 	for name, t := range in.world.Types {
-		if len(s.Types) > 0 && !contains(s.Types, name) || s.Zone != "" && !contains(t.Zones, s.Zone) {
+		if len(s.Types) > 0 && !slices.Contains(s.Types, name) || s.Zone != "" && !slices.Contains(t.Zones, s.Zone) {
 			continue
 		}
 		if need.Within(world.Capacity(&t)) {
@@ -218,15 +219,6 @@
 	return "a task fits no allowed machine type"
 }
 
-func contains(list []string, v string) bool {
-	for _, s := range list {
-		if s == v {
-			return true
-		}
-	}
-	return false
-}
-
 func (in *Intake) poll(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithTimeout(r.Context(), tuning.PollTimeout)
 	defer cancel()
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"slices"
 	"sync"
 	"time"
 
@@ -31,7 +30,6 @@
 	log    *slog.Logger
 
 	mu     sync.Mutex
-	hold   uint64
 	orphan map[int]time.Time    // since when a part has no live owner
 	seen   map[string]time.Time // since when a node's session is present
 	fences map[int]bool
@@ -89,9 +87,6 @@
 			}
 			if registered = err == nil; registered {
 				m.log.Info("session open", "node", m.Self, "incarnation", m.Inc)
-				m.mu.Lock()
-				m.hold = hold
-				m.mu.Unlock()
 			}
 		}
 		if err != nil && ctx.Err() == nil {
@@ -347,8 +342,5 @@
 	m.log.Info("part given away: its workers report elsewhere", "part", part, "to", to, "err", err)
 }
 
-// Nodes lists all nodes in the agreed order.
-func (m *Member) Nodes() []string { return slices.Clone(m.nodes) }
-
 // Seen tells whether the view holds everything up to a revision.
 func (m *Member) Seen(rev uint64) bool { return m.cache.Revision() >= rev }
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"sableusher/internal/config"
 	"sableusher/internal/learn"
 	"sableusher/internal/tuning"
 	"sableusher/internal/wire"
@@ -154,20 +155,20 @@
 // when little slack is left.
 func (r *round) deadline(j *world.Job) (time.Time, bool) {
 	at := time.UnixMilli(j.AtMs)
-	run := secs(r.values.runs.RunS(j.Spec.Class, j.Spec.EstimateS))
+	run := config.Seconds(r.values.runs.RunS(j.Spec.Class, j.Spec.EstimateS))
 	var aims []time.Time
 	if j.Spec.DeadlineS > 0 {
-		aims = append(aims, at.Add(secs(j.Spec.DeadlineS)))
+		aims = append(aims, at.Add(config.Seconds(j.Spec.DeadlineS)))
 	}
 	for _, o := range r.set.Deployment.Objectives {
 		switch {
 		case o.Class != j.Spec.Class:
 		case o.Kind == "deadline" && j.Spec.DeadlineS > 0 && o.Times > 0:
-			aims = append(aims, at.Add(secs(j.Spec.DeadlineS*o.Times)))
+			aims = append(aims, at.Add(config.Seconds(j.Spec.DeadlineS*o.Times)))
 		case o.Kind == "wait" && o.WithinS > 0:
-			aims = append(aims, at.Add(secs(o.WithinS)+run))
+			aims = append(aims, at.Add(config.Seconds(o.WithinS)+run))
 		case o.WithinS > 0:
-			aims = append(aims, at.Add(secs(o.WithinS)))
+			aims = append(aims, at.Add(config.Seconds(o.WithinS)))
 		}
 	}
 	if len(aims) == 0 {
@@ -182,8 +183,6 @@
 	return aims[len(aims)-1], false
 }
 
-func secs(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
 // allowed tells whether a job may use a machine at all.
 func allowed(s *wire.Spec, m *world.Machine) bool {
 	return (len(s.Types) == 0 || slices.Contains(s.Types, m.Type)) &&
--- a/internal/standin/region.go
+++ b/internal/standin/region.go
@@ -177,7 +177,7 @@
 	if r.saved[ref] {
 		run /= 2
 	}
-	return secs(run)
+	return config.Seconds(run)
 }
 
 type mate struct {
@@ -357,7 +357,7 @@
 	case req.URL.Path == "/machines" && req.Method == http.MethodPost:
 		r.rent(w, body, now)
 	case req.URL.Path == "/machines":
-		lag := secs(r.Set.Deployment.Cloud.ListLagS * (0.5 + r.rnd.Float64()*1.5))
+		lag := config.Seconds(r.Set.Deployment.Cloud.ListLagS * (0.5 + r.rnd.Float64()*1.5))
 		out := wire.List{Machines: []wire.Listed{}}
 		after := req.URL.Query().Get("after")
 		for _, l := range slices.Backward(r.listings) {
@@ -404,7 +404,7 @@
 		m := &rented{Listed: wire.Listed{ID: id, Address: strings.Replace(id, "vm-", "worker-", 1) + ":9000", Type: q.Type, Zone: q.Zone,
 			Spot: q.Spot, State: wire.MachineBooting}, rental: q.Name, key: key, since: now}
 		if r.rnd.IntN(20) > 0 { // a few never come up
-			m.up = now.Add(secs(5 * (0.6 + r.rnd.Float64())))
+			m.up = now.Add(config.Seconds(5 * (0.6 + r.rnd.Float64())))
 		}
 		r.machines = append(r.machines, m)
 		names = append(names, id)
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"sableusher/internal/config"
 	"sableusher/internal/wire"
 	"sableusher/internal/world"
 )
@@ -96,7 +97,7 @@
 			t.ready = now.Add(w.r.left(k.ref, &t.spec))
 			if t.spec.Kind == wire.KindGang {
 				t.State = wire.TaskWaiting
-				t.ready = now.Add(secs(w.r.Set.Deployment.Workers.GangWaitS))
+				t.ready = now.Add(config.Seconds(w.r.Set.Deployment.Workers.GangWaitS))
 			}
 		case wire.TaskWaiting:
 			if mates := w.r.mates(k); len(mates) == t.spec.Tasks {
@@ -112,7 +113,7 @@
 			if t.spec.Kind == wire.KindGang && len(w.r.mates(k)) < t.spec.Tasks {
 				if t.missing.IsZero() {
 					t.missing = now
-				} else if now.Sub(t.missing) > secs(w.r.Set.Deployment.Workers.GangPeerS) {
+				} else if now.Sub(t.missing) > config.Seconds(w.r.Set.Deployment.Workers.GangPeerS) {
 					w.exit(k, t, wire.CausePeers, false)
 				}
 				continue
@@ -158,7 +159,7 @@
 			}
 			switch {
 			case t.State == wire.TaskRunning && t.spec.CheckpointS > 0 && grace >= t.spec.SaveS:
-				t.State, t.ready = wire.TaskSaving, now.Add(secs(t.spec.SaveS))
+				t.State, t.ready = wire.TaskSaving, now.Add(config.Seconds(t.spec.SaveS))
 				w.changed = true
 			case t.State != wire.TaskSaving || grace == 0:
 				w.exit(k, t, wire.CauseStopped, false)
@@ -194,7 +195,7 @@
 	}
 	t.ready = now
 	if !w.images[spec.Image] {
-		t.ready = now.Add(secs(spec.ImageGB / w.typ.FetchGBps))
+		t.ready = now.Add(config.Seconds(spec.ImageGB / w.typ.FetchGBps))
 	}
 }
 
@@ -219,7 +220,7 @@
 	for ctx.Err() == nil {
 		w.r.mu.Lock()
 		gone, hung := w.gone, w.hung()
-		every := secs(w.r.Set.Deployment.Workers.ReportS * (0.75 + w.r.rnd.Float64()/2))
+		every := config.Seconds(w.r.Set.Deployment.Workers.ReportS * (0.75 + w.r.rnd.Float64()/2))
 		due := time.Since(w.lastReport) >= every || w.changed && time.Since(w.lastReport) >= 500*time.Millisecond
 		w.r.mu.Unlock()
 		if gone {
@@ -316,5 +317,3 @@
 	w.execute(cmd.Orders)
 	wire.Reply(rw, http.StatusOK, w.report())
 }
-
-func secs(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -228,9 +228,3 @@
 	}
 	return nil
 }
-
-// CloseHold ends a lease at once.
-func (c *Client) CloseHold(ctx context.Context, hold uint64) error {
-	_, _, err := c.call(ctx, http.MethodDelete, fmt.Sprintf("/holds/%d", hold), nil, nil, tuning.StateTimeout)
-	return err
-}
