--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -35,6 +35,7 @@
 	changed  chan struct{}
 	kicks    chan string
 	adopt    map[string]wire.Report
+	news     map[string]struct{} // machines whose reports told something new
 }
 
 // New makes the fleet; fresh tells as of when the view is complete.
@@ -46,10 +47,28 @@
 		set: set, world: w, member: mem, fresh: fresh, log: log,
 		http: &http.Client{Transport: rt}, lanes: semaphore.NewWeighted(tuning.OrderLanes),
 		machines: map[string]*machine{}, wishes: map[key]Wish{}, bounced: map[string]time.Time{},
-		changed: make(chan struct{}, 1), kicks: make(chan string, 1024), adopt: map[string]wire.Report{},
+		changed: make(chan struct{}, 1), kicks: make(chan string, tuning.KickQueue), adopt: map[string]wire.Report{},
+		news: map[string]struct{}{},
 	}
 }
 
+// News takes the machines whose reports told something new since the last
+// call, which one caller makes: what follows from reports costs as much as
+// they change, not as much as there are machines.
+func (f *Fleet) News() map[string]struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := f.news
+	f.news = map[string]struct{}{}
+	return out
+}
+
+// learned notes that a machine's report told something new. Callers hold the lock.
+func (f *Fleet) learned(name string) {
+	f.news[name] = struct{}{}
+	f.poke()
+}
+
 // Changed is poked after reports that may free room or move tasks.
 func (f *Fleet) Changed() <-chan struct{} { return f.changed }
 
@@ -101,13 +120,17 @@
 		m = newMachine(r.Machine)
 		f.machines[r.Machine] = m
 	}
-	if !m.observe(r, true, now) {
+	newer, changed := m.observe(r, true, now)
+	if !newer {
 		return http.StatusServiceUnavailable, nil
 	}
-	f.poke()
+	if changed {
+		f.learned(r.Machine)
+	}
 	out := wire.Orders{Token: token, Orders: []wire.Order{}}
-	if rec == nil || !rec.Up || rec.Address != r.Address {
+	if rec == nil || !rec.Up || rec.Address != r.Address || max(rec.Session, 1) != r.Session {
 		f.adopt[r.Machine] = *r
+		f.poke()
 	}
 	if _, _, owns := f.member.Owns(part); rec != nil && owns {
 		out.Orders = append(out.Orders, m.orders(rec.Bound, f.known, f.wish, token, r.Seq, now)...)
@@ -282,8 +305,10 @@
 	}
 	if rep != nil && rep.Machine == name {
 		old := m.session
-		if m.observe(rep, false, time.Now()) {
-			f.poke()
+		if newer, changed := m.observe(rep, false, time.Now()); newer {
+			if changed {
+				f.learned(name)
+			}
 			if m.session != old || m.token < token {
 				f.kick(name) // a new session, or the first word: orders can follow now
 			}
@@ -372,24 +397,26 @@
 	return Task{fate, s.State, s.Cause, s.Saved, s.since}
 }
 
-// HasImage tells whether a machine is believed to hold an image.
-func (f *Fleet) HasImage(name, image string) bool {
+// Holders gives the machines that are believed to hold an image.
+func (f *Fleet) Holders(image string) map[string]bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	m := f.machines[name]
-	if m == nil {
-		return false
+	out := map[string]bool{}
+	for name, m := range f.machines {
+		if _, ok := m.images[image]; ok {
+			out[name] = true
+		}
 	}
-	_, ok := m.images[image]
-	return ok
+	return out
 }
 
-// NoteImage records that a machine holds an image.
-func (f *Fleet) NoteImage(name, image string) {
+// NoteImage records that a machine has just used an image; its cache keeps the
+// ones used last.
+func (f *Fleet) NoteImage(name, image string, gb, cacheGB float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if m := f.machines[name]; m != nil {
-		m.images[image] = time.Now()
+		m.cache(image, gb, cacheGB, time.Now())
 	}
 }
 
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -33,6 +33,12 @@
 	since time.Time
 }
 
+// cached is an image a worker is believed to hold.
+type cached struct {
+	used time.Time
+	gb   float64
+}
+
 // machine is what this node knows of a worker.
 type machine struct {
 	name    string
@@ -50,7 +56,7 @@
 	tasks   map[key]seen
 	stray   map[key]time.Time
 	starts  map[key][]launch
-	images  map[string]time.Time
+	images  map[string]cached
 
 	refused time.Time            // a start was refused for want of room
 	errors  map[string]time.Time // jobs whose tasks failed here
@@ -62,16 +68,38 @@
 func newMachine(name string) *machine {
 	return &machine{
 		name: name, tasks: map[key]seen{}, stray: map[key]time.Time{}, starts: map[key][]launch{},
-		images: map[string]time.Time{}, errors: map[string]time.Time{},
+		images: map[string]cached{}, errors: map[string]time.Time{},
+	}
+}
+
+// cache notes that an image is held now; beyond the cache's size those used
+// longest ago are gone.
+func (m *machine) cache(image string, gb, sizeGB float64, now time.Time) {
+	m.images[image] = cached{now, gb}
+	sum := 0.0
+	for _, c := range m.images {
+		sum += c.gb
+	}
+	for sizeGB > 0 && sum > sizeGB && len(m.images) > 1 {
+		oldest := image
+		for n, c := range m.images {
+			if n != image && (oldest == image || c.used.Before(m.images[oldest].used)) {
+				oldest = n
+			}
+		}
+		sum -= m.images[oldest].gb
+		delete(m.images, oldest)
 	}
 }
 
 // observe takes in a report; older ones than the last are refused. beat tells
-// reports that ask for an answer from those that answer commands.
-func (m *machine) observe(r *wire.Report, beat bool, now time.Time) bool {
+// reports that ask for an answer from those that answer commands. changed tells
+// whether the report says anything new.
+func (m *machine) observe(r *wire.Report, beat bool, now time.Time) (newer, changed bool) {
 	if r.Session < m.session || r.Session == m.session && r.Seq <= m.seq {
-		return false
+		return false, false
 	}
+	changed = r.Session > m.session || r.Token > m.token || (r.NoticeS != nil) == m.recall.IsZero() || len(m.starts) > 0
 	if r.Session > m.session {
 		// A new session has none of the old one's tasks, and commands to the
 		// old one are refused.
@@ -119,10 +147,12 @@
 		s := seen{t, now}
 		if o, ok := old[k]; ok && o.State == t.State {
 			s.since = o.since
+		} else {
+			changed = true
 		}
 		m.tasks[k] = s
 	}
-	return true
+	return true, changed || len(old) != len(m.tasks)
 }
 
 // mayStart tells whether a start command for the attempt may still be carried out.
--- a/internal/fleet/machine_test.go
+++ b/internal/fleet/machine_test.go
@@ -80,7 +80,7 @@
 	running := wire.TaskReport{Task: "run-1/0", Attempt: 1, State: wire.TaskRunning}
 	m.observe(report(2, 7, 5, running), true, now)
 	for _, old := range []*wire.Report{report(2, 7, 5), report(2, 6, 9), report(1, 99, 9)} {
-		if m.observe(old, true, now.Add(time.Second)) || !m.heard.Equal(now) {
+		if newer, _ := m.observe(old, true, now.Add(time.Second)); newer || !m.heard.Equal(now) {
 			t.Fatalf("took %+v", old)
 		}
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -167,7 +167,7 @@
 		key := world.JobKey(spec.ID)
 		_, err := in.commit.Do(ctx, store.Item{
 			Guards: []wire.Guard{{Key: key}, {Key: world.FinalKey(spec.ID)}},
-			Ops:    []wire.Op{store.Set(key, rec)},
+			Ops:    []wire.Op{store.Set(key, rec)}, Urgent: true,
 		})
 		if err == nil {
 			in.log.Debug("job accepted", "job", spec.ID, "class", spec.Class, "kind", spec.Kind, "tasks", spec.Tasks)
--- a/internal/learn/estimate.go
+++ b/internal/learn/estimate.go
@@ -17,11 +17,13 @@
 	mu     sync.Mutex
 	runs   map[string][]float64
 	ratios map[string][]float64
+	// The medians of both, which are asked for far more often than they change.
+	run, ratio map[string]float64
 }
 
 // NewEstimates knows nothing yet.
 func NewEstimates() *Estimates {
-	return &Estimates{runs: map[string][]float64{}, ratios: map[string][]float64{}}
+	return &Estimates{runs: map[string][]float64{}, ratios: map[string][]float64{}, run: map[string]float64{}, ratio: map[string]float64{}}
 }
 
 // Completed notes a whole run and what its owner had estimated.
@@ -35,8 +37,10 @@
 		return
 	}
 	e.runs[class] = keep(e.runs[class], runS)
+	delete(e.run, class)
 	if ownersS > 0 {
 		e.ratios[class] = keep(e.ratios[class], runS/ownersS)
+		delete(e.ratio, class)
 	}
 }
 
@@ -48,9 +52,14 @@
 	return list
 }
 
-func median(list []float64) float64 {
-	s := slices.Sorted(slices.Values(list))
-	return stat.Quantile(0.5, stat.Empirical, s, nil)
+// median gives the median of a class's list, kept until the list changes.
+func median(known map[string]float64, class string, list []float64) float64 {
+	m, ok := known[class]
+	if !ok {
+		m = stat.Quantile(0.5, stat.Empirical, slices.Sorted(slices.Values(list)), nil)
+		known[class] = m
+	}
+	return m
 }
 
 // RunS estimates a task's run time: the median of its class once enough runs
@@ -59,10 +68,10 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if r := e.runs[class]; len(r) >= tuning.LearnEnough {
-		return median(r)
+		return median(e.run, class, r)
 	}
 	if q := e.ratios[class]; len(q) > 0 {
-		return ownersS * median(q)
+		return ownersS * median(e.ratio, class, q)
 	}
 	return ownersS
 }
@@ -93,6 +102,7 @@
 		for _, q := range list {
 			if q > 0 && q < tuning.MaxAmount && len(e.ratios) < tuning.LearnClasses {
 				e.ratios[c] = keep(e.ratios[c], q)
+				delete(e.ratio, c)
 			}
 		}
 	}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -158,7 +158,9 @@
 	if m.cache.Fresh().IsZero() || time.Since(m.cache.Fresh()) > tuning.ReadyStale {
 		return
 	}
-	for _, c := range m.claims() {
+	claims := m.claims()
+	m.client.SetShare(m.share())
+	for _, c := range claims {
 		ctx, cancel := context.WithTimeout(ctx, 2*tuning.StateTimeout)
 		_, err := m.commit.Do(ctx, c.item)
 		cancel()
@@ -174,6 +176,24 @@
 	}
 }
 
+// share is this node's share of the state service's budget: a part is the same
+// for all live nodes, the rest follows the parts, whose tasks cause the writes.
+// All nodes' shares together keep within the whole.
+func (m *Member) share() float64 {
+	m.world.RLock()
+	defer m.world.RUnlock()
+	if _, live := m.world.Nodes[m.Self]; !live {
+		return tuning.StateShare / float64(len(m.nodes))
+	}
+	owned := 0.0
+	for _, p := range m.world.Parts {
+		if m.mine(p) {
+			owned++
+		}
+	}
+	return tuning.StateShare * (tuning.EvenShare/float64(len(m.world.Nodes)) + (1-tuning.EvenShare)*owned/float64(m.world.Size+1))
+}
+
 func (m *Member) claims() []claim {
 	now := time.Now()
 	m.world.RLock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,9 +38,8 @@
 // the other nodes.
 func New(set *config.Settings, op *config.Operator, inc uint64, rt http.RoundTripper, lines func(peer.Witness) (Lines, error), log *slog.Logger) (*Node, error) {
 	d := &set.Deployment
-	share := tuning.StateShare / float64(d.Size)
 	client := store.NewClient(set.Outside.State, store.Limits{
-		RPS: d.State.RPS * share, WriteRPS: d.State.WriteRPS * share, ValueKB: d.State.ValueKB, TxnOps: d.State.TxnOps,
+		Share: tuning.StateShare / float64(d.Size), RPS: d.State.RPS, WriteRPS: d.State.WriteRPS, ValueKB: d.State.ValueKB, TxnOps: d.State.TxnOps,
 	}, rt)
 	view := world.New(d.Size, log)
 	cache := store.NewCache(client, world.Root, view, log)
@@ -52,7 +51,7 @@
 		return nil, err
 	}
 	engine := place.New(set, op, view, members, workers, commit, client, peers, log)
-	cloud := pool.NewCloud(set.Outside.Cloud, d.Cloud.RPS*tuning.CloudShare/float64(d.Size), rt)
+	cloud := pool.NewCloud(set.Outside.Cloud, d.Cloud.RPS, d.Size, rt)
 	machines := pool.New(set, op, view, members, engine, cloud, commit, log)
 	users := intake.New(set, view, client, commit, cache, workers, log)
 	return &Node{handler: users.Handler(), runs: []func(context.Context) error{
--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"sync"
 	"time"
 
@@ -37,7 +38,9 @@
 	moving  map[uint64]*change
 	nextID  uint64
 	backoff map[string]retry
-	waits   map[world.TaskRef]time.Time // since when a task waits though room was seen
+	waits   map[string]wait     // jobs that wait though room was seen for them elsewhere
+	look    map[string]struct{} // machines whose tasks' fate is to be looked at
+	swept   time.Time           // when all machines were last looked at
 	forming map[string]time.Time
 	told    map[string]time.Time // when the log last said why a job waits
 	held    map[string]reserve   // machines on which room is being freed
@@ -65,6 +68,13 @@
 	node string
 }
 
+// wait is since when a job waits, with so many tasks, for another part's owner.
+type wait struct {
+	since   time.Time
+	seen    time.Time
+	pending int
+}
+
 type retry struct {
 	until time.Time
 	pause time.Duration
@@ -79,7 +89,7 @@
 func New(set *config.Settings, op *config.Operator, w *world.World, m *member.Member, f *fleet.Fleet, c *store.Committer, reader Reader, peers Peers, log *slog.Logger) *Engine {
 	return &Engine{
 		set: set, op: op, world: w, member: m, fleet: f, commit: c, quota: quota.New(set.Deployment.Teams, w), log: log,
-		busy: map[string]bool{}, moving: map[uint64]*change{}, backoff: map[string]retry{}, waits: map[world.TaskRef]time.Time{},
+		busy: map[string]bool{}, moving: map[uint64]*change{}, backoff: map[string]retry{}, waits: map[string]wait{}, look: map[string]struct{}{},
 		forming: map[string]time.Time{}, told: map[string]time.Time{}, held: map[string]reserve{}, owned: map[int]time.Time{}, gone: map[string]bool{},
 		fenced: map[int]time.Time{}, reader: reader, peers: peers, vetoes: map[string]veto{},
 		values: values{
@@ -96,6 +106,7 @@
 	defer wg.Wait()
 	e.ctx = ctx
 	changed := e.world.Subscribe()
+	took := time.Duration(0)
 	idle := time.NewTimer(tuning.PlaceIdle)
 	defer idle.Stop()
 	for {
@@ -107,12 +118,16 @@
 		case <-e.again:
 		case <-idle.C:
 		}
-		e.Round(time.Now(), &wg)
+		start := time.Now()
+		e.Round(start, &wg)
+		took = time.Since(start)
 		idle.Reset(tuning.PlaceIdle)
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-time.After(tuning.PlaceGap):
+		// Rounds that cost much come less often, so that reports, polls and
+		// sessions keep their share of the processor.
+		case <-time.After(max(tuning.PlaceGap, tuning.PlaceRest*took)):
 		}
 	}
 }
@@ -139,7 +154,7 @@
 type bind struct {
 	ref     world.TaskRef
 	machine string
-	part    int
+	part    int // whose grant it uses
 	team    string
 	need    world.Amount
 }
@@ -148,12 +163,23 @@
 func (e *Engine) Round(now time.Time, wg *sync.WaitGroup) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	maps.Copy(e.look, e.world.Touched())
+	maps.Copy(e.look, e.fleet.News())
 	e.world.RLock()
 	r := e.newRound(now)
-	r.clock()
 	r.adopt()
+	if now.Sub(e.swept) >= tuning.SweepEvery {
+		e.swept = now
+		r.clock()
+		r.sweep()
+		r.machinesDue()
+		for p := range r.tokens {
+			for _, m := range r.world.ByPart[p] {
+				e.look[m.Name] = struct{}{}
+			}
+		}
+	}
 	r.settle()
-	r.machinesDue()
 	r.place()
 	r.flush()
 	for _, q := range e.quota.Review(now, r.stamps, r.use) {
@@ -213,6 +239,7 @@
 	e.mu.Lock()
 	for _, n := range names {
 		e.gone[n] = true
+		e.look[n] = struct{}{}
 	}
 	e.mu.Unlock()
 	e.poke()
@@ -230,8 +257,15 @@
 			out = append(out, name)
 		}
 	}
+	moving := map[string]bool{}
+	for _, c := range e.moving {
+		for _, b := range c.binds {
+			moving[b.machine] = true
+		}
+	}
 	for name, m := range e.world.Machines {
-		if m.Gone {
+		// Nothing is placed on a drained machine any more: once it is empty it can go.
+		if m.Gone || m.Drain && len(m.Bound) == 0 && !moving[name] {
 			add(name)
 		}
 	}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -15,74 +15,41 @@
 	"sableusher/internal/world"
 )
 
-// node is a machine as a round sees it. Every node plays the same round over all
-// machines, so that tasks are dealt across parts by free room without a word
-// between nodes; it binds only those that fall to its own parts. Where views
-// differ, the records' guards decide and the loser looks again.
-type node struct {
-	m      *world.Machine
-	typ    wire.MachineType
-	free   world.Amount
-	mine   bool
-	ready  bool // up and fit for tasks, as far as this node knows
-	kept   string
-	images map[string]bool
-}
-
 // Group is a number of like tasks that found no room.
 type Group struct {
 	Spec  *wire.Spec
 	Count int
+	Zone  string    // where the rest of its tasks have room, if they must be together
 	Since time.Time // of the job's submission
 }
 
+// Spare is the room that is left once all that waits has been given its own.
+type Spare struct {
+	Room  float64 // in machines
+	Whole int     // machines that nothing uses
+}
+
 // Demand is what a round could not place, and what it had no use for.
 type Demand struct {
 	Groups []Group
 	Idle   []string // machines, up or booting, that no task uses or waits for
-	Room   float64  // free room of all machines, in machines
+	Spare  Spare    // of ordinary machines
+	Spot   Spare    // of spot machines
 	At     time.Time
 }
 
 // due is a job in the order of placement.
 type due struct {
 	job      *world.Job
+	need     world.Amount
 	rank     int
 	deadline time.Time
 	assured  bool // within its team's guarantee
 	pressing bool // its deadline can still be met, but not for long
 	choice   learn.Choice
 	scored   bool
-}
-
-func (r *round) nodes() []*node {
-	var out []*node
-	for _, name := range slices.Sorted(maps.Keys(r.world.Machines)) {
-		m := r.world.Machines[name]
-		typ, ok := r.world.Types[m.Type]
-		if m.Gone || m.Drain || !ok {
-			continue
-		}
-		n := &node{m: m, typ: typ, images: map[string]bool{}}
-		n.free = world.Capacity(&typ).Plus(m.Used, -1).Plus(r.moveM[name], -1)
-		token, mine := r.tokens[m.Part]
-		n.mine, n.ready = mine, m.Up
-		if mine {
-			n.ready = m.Up && r.fleet.Look(name, token).Usable
-		}
-		for _, b := range m.Bound {
-			n.images[b.Job.Spec.Image] = true
-		}
-		if h, ok := r.held[name]; ok {
-			if r.now.After(h.until) {
-				delete(r.held, name)
-			} else {
-				n.kept = h.ref.Job
-			}
-		}
-		out = append(out, n)
-	}
-	return out
+	home     int // the part it is dealt to
+	left     int // tasks that have no place yet in this round
 }
 
 // guarantees finds the jobs that lie within their team's guarantee, together
@@ -111,8 +78,8 @@
 	}
 }
 
-func (r *round) queue() []due {
-	r.guarantees()
+// queue gives the jobs that wait, in the order of placement.
+func (r *round) queue(room bool) []due {
 	var out []due
 	for id, j := range r.world.Jobs {
 		if !j.Known || j.Cancelled() || j.Pending() == 0 {
@@ -121,35 +88,27 @@
 		if b, ok := r.backoff[id]; ok && r.now.Before(b.until) {
 			continue
 		}
-		deadline, pressing := r.deadline(j)
-		out = append(out, due{job: j, assured: r.assured[id], rank: wire.Rank(j.Spec.Priority), deadline: deadline, pressing: pressing})
-	}
-	r.order(out)
-	if len(r.backoff) > 0 {
-		for id := range r.backoff {
-			if r.world.Jobs[id] == nil {
-				delete(r.backoff, id)
-			}
-		}
-	}
-	for ref := range r.waits {
-		if r.world.Jobs[ref.Job] == nil {
-			delete(r.waits, ref)
-		}
-	}
-	for id := range r.told {
-		if r.world.Jobs[id] == nil {
-			delete(r.told, id)
-		}
-	}
-	for id := range r.forming {
-		if r.world.Jobs[id] == nil {
-			delete(r.forming, id)
+		if out == nil {
+			r.guarantees()
 		}
+		deadline, pressing := r.deadline(j)
+		out = append(out, due{job: j, need: world.Need(&j.Spec), assured: r.assured[id], rank: wire.Rank(j.Spec.Priority),
+			deadline: deadline, pressing: pressing, home: -1})
 	}
+	r.order(out, room)
 	return out
 }
 
+// sweep forgets what is kept of jobs that are over.
+func (r *round) sweep() {
+	over := func(id string) bool { return r.world.Jobs[id] == nil }
+	maps.DeleteFunc(r.backoff, func(id string, _ retry) bool { return over(id) })
+	maps.DeleteFunc(r.waits, func(id string, _ wait) bool { return over(id) })
+	maps.DeleteFunc(r.told, func(id string, _ time.Time) bool { return over(id) })
+	maps.DeleteFunc(r.forming, func(id string, _ time.Time) bool { return over(id) })
+	maps.DeleteFunc(r.held, func(_ string, h reserve) bool { return r.now.After(h.until) })
+}
+
 // deadline is when a job should be over by what its user or its class's aims
 // say: the next such time that can still be met, else the last. It is pressing
 // when little slack is left.
@@ -183,12 +142,6 @@
 	return aims[len(aims)-1], false
 }
 
-// allowed tells whether a job may use a machine at all.
-func allowed(s *wire.Spec, m *world.Machine) bool {
-	return (len(s.Types) == 0 || slices.Contains(s.Types, m.Type)) &&
-		(s.Zone == "" || s.Zone == m.Zone) && (s.Spot || !m.Spot)
-}
-
 // zones is where the tasks of one record of a job stand, and what the rules
 // leave open.
 type zones struct {
@@ -238,194 +191,299 @@
 	}
 }
 
-// place plays the round: jobs in order, each task first-fit in the part with
-// the most room, machines that hold the image first.
+// place plays the round. Priorities come one after the other; within one, each
+// job first finds room in the part it is dealt to, and what is left over goes
+// wherever room is left.
 func (r *round) place() {
-	nodes := r.nodes()
-	total := map[string]world.Amount{}
-	for p := range r.world.Size {
-		for team, a := range r.world.Usage[p] {
-			total[team] = total[team].Plus(a, 1)
+	s := r.newStock()
+	queue := r.queue(s.room())
+	s.narrow(queue)
+	d := Demand{At: r.now}
+	if len(queue) > 0 {
+		total := map[string]world.Amount{}
+		for p := range r.world.Size {
+			for team, a := range r.world.Usage[p] {
+				total[team] = total[team].Plus(a, 1)
+			}
+			for team, a := range r.moveP[p] {
+				total[team] = total[team].Plus(a, 1)
+			}
 		}
-		for team, a := range r.moveP[p] {
-			total[team] = total[team].Plus(a, 1)
+		for len(queue) > 0 {
+			n := 1
+			for n < len(queue) && queue[n].rank == queue[0].rank {
+				n++
+			}
+			for i := range queue[:n] {
+				r.deal(&queue[i], s, total)
+			}
+			for i := range queue[:n] {
+				r.spill(&queue[i], s, &d)
+			}
+			queue = queue[n:]
 		}
 	}
-	d := Demand{At: r.now}
-	queue := r.queue()
-	for i := range queue[:min(len(queue), tuning.RoundJobs)] {
-		r.placeJob(&queue[i], nodes, total, &d)
-	}
-	for _, n := range nodes {
-		d.Room += share(n.free, world.Capacity(&n.typ))
-		if len(n.m.Bound) == 0 && n.kept == "" && n.free == world.Capacity(&n.typ) {
-			d.Idle = append(d.Idle, n.m.Name)
-		}
+	if _, _, leads := r.member.Owns(world.Leader); leads {
+		s.spare(&d)
+		r.demand = d
 	}
-	r.demand = d
 }
 
-func (r *round) placeJob(du *due, nodes []*node, total map[string]world.Amount, d *Demand) {
+// deal gives a job's tasks room in the part that the job is dealt to, so that
+// its record has one writer as a rule. A gang is placed whole over all parts.
+func (r *round) deal(du *due, s *stock, total map[string]world.Amount) {
 	j, spec := du.job, &du.job.Spec
-	need := world.Need(spec)
-	if r.busy[world.JobKey(spec.ID)] {
-		r.waiting(j, "a change of its record is on its way", nil)
-		return
+	du.left = max(0, j.Pending()-r.moveJ[spec.ID])
+	if limit, ok := r.quota.Limit(spec.Team); ok {
+		open := limit.Plus(total[spec.Team], -1)
+		open.Mem = tuning.MaxAmount * tuning.MaxTasks
+		n := fits(du.need, open)
+		if n < du.left {
+			r.waiting(j, "team's limit", nil)
+			du.left = n
+			if spec.Kind == wire.KindGang {
+				du.left = 0
+			}
+		}
+	}
+	if du.left == 0 {
+		return // not a want of machines
 	}
-	limit, limited := r.quota.Limit(spec.Team)
+	total[spec.Team] = total[spec.Team].Plus(du.need, float64(du.left))
 	if spec.Kind == wire.KindGang {
-		r.placeGang(du, nodes, total, d)
+		r.placeGang(du, s)
 		return
 	}
-	rooms := r.rooms(spec, need, nodes)
-	missing, looked := 0, 0
-	var z zones
-	chunk := -1
-	for i := 0; i < spec.Tasks && looked < tuning.JobSlice; i++ {
-		if i%tuning.ChunkTasks == 0 && j.Settled(i/tuning.ChunkTasks) {
-			i += tuning.ChunkTasks - 1 // nothing waits in this record
-			continue
-		}
-		if r.task(j, i).State != world.Idle {
-			continue
-		}
-		looked++
-		if k := i / tuning.ChunkTasks; k != chunk {
-			chunk, z = k, r.zones(j, k)
-		}
-		if limited && !total[spec.Team].Plus(need, 1).Within(limit) {
-			r.waiting(j, "team's limit", nil)
-			break // not a want of machines
-		}
-		total[spec.Team] = total[spec.Team].Plus(need, 1)
-		n := r.pick(j, need, nodes, rooms, &z, nil)
-		ref := world.TaskRef{Job: spec.ID, Index: i}
-		if n != nil && !n.mine {
-			// Its part's owner should take it; if it does not, whoever has room may.
-			if since, ok := r.waits[ref]; !ok {
-				r.waits[ref] = r.now
-			} else if r.now.Sub(since) > tuning.DealHold {
-				if own := r.pick(j, need, nodes, rooms, &z, func(n *node) bool { return n.mine }); own != nil {
-					n = own
-				}
-			}
-		}
-		if n != nil && !n.mine {
-			r.waiting(j, "dealt to another node's machine", n)
-		}
-		if n == nil {
-			r.waiting(j, "no room", nil)
-			n = r.booting(j, need, nodes, &z)
-			if n == nil {
-				missing++
-			}
-			if du.assured || du.rank <= wire.Rank(wire.PriorityHigh) {
-				r.preempt(du, ref, need, nodes, &z)
-			}
-			if n != nil {
-				n.free = n.free.Plus(need, -1)
-				z.add(j, n.m.Zone)
-			}
-			continue
-		}
-		n.free = n.free.Plus(need, -1)
-		n.images[spec.Image] = true
-		rooms[n.m.Part]--
-		z.add(j, n.m.Zone)
-		if n.mine {
-			r.bind(du, i, r.task(j, i).Attempt+1, n, need)
+	fit := s.fitting(spec, du.need, true)
+	du.home = r.home(du, fit)
+	if len(fit) == 0 {
+		return
+	}
+	k := r.chunk(j)
+	z := r.zones(j, k)
+	picks := r.choose(du, fit, &z, func(n *node) bool { return n.m.Part == du.home })
+	if _, mine := r.tokens[du.home]; !mine && len(picks) > 0 && r.waited(du) {
+		// Its owner has not taken it though there is room.
+		give(du, picks)
+		z = r.zones(j, k)
+		picks = r.choose(du, fit, &z, func(n *node) bool { return n.mine })
+	}
+	r.bindTasks(du, k, picks)
+}
+
+// chunk is the record of a job whose tasks are placed in this round: where the
+// tasks of each record must be spread, the first in which one waits.
+func (r *round) chunk(j *world.Job) int {
+	if !j.Spec.Spread {
+		return 0
+	}
+	for k := range world.Chunks(j.Spec.Tasks) {
+		if !j.Settled(k) {
+			return k
 		}
 	}
-	if missing > 0 {
-		missing += max(0, j.Pending()-looked)
-		d.Groups = append(d.Groups, Group{spec, missing, time.UnixMilli(j.AtMs)})
+	return 0
+}
+
+// give takes back room that was taken for a job.
+func give(du *due, picks []*node) {
+	for _, n := range picks {
+		n.free = n.free.Plus(du.need, 1)
 	}
+	du.left += len(picks)
 }
 
-// waiting logs now and then why a job waits.
-func (r *round) waiting(j *world.Job, why string, n *node) {
-	if !r.log.Enabled(r.ctx, slog.LevelDebug) || r.now.Sub(r.told[j.Spec.ID]) < tuning.WhyEvery {
+// spill looks elsewhere for room for what the part of a job had none for, then
+// at machines that are coming up; the rest is demand for the pool.
+func (r *round) spill(du *due, s *stock, d *Demand) {
+	j, spec := du.job, &du.job.Spec
+	if du.left == 0 {
 		return
 	}
-	r.told[j.Spec.ID] = r.now
-	machine := ""
-	if n != nil {
-		machine = n.m.Name
+	k := r.chunk(j)
+	z := r.zones(j, k)
+	up, coming := s.fitting(spec, du.need, true), s.fitting(spec, du.need, false)
+	gang := spec.Kind == wire.KindGang
+	if !gang {
+		if picks := r.choose(du, up, &z, func(n *node) bool { return n.m.Part != du.home }); len(picks) > 0 &&
+			(du.rank <= wire.Rank(wire.PriorityHigh) || r.waited(du)) {
+			r.bindTasks(du, k, picks)
+		}
+	} else {
+		if spec.OneZone && z.pin == "" {
+			z.pin = roomiest(du.need, up, coming)
+		}
+		r.choose(du, up, &z, nil) // kept whole for it
+	}
+	if du.left == 0 {
+		return
+	}
+	r.waiting(j, "no room", nil)
+	short := du.left
+	r.choose(du, coming, &z, nil)
+	if du.left > 0 {
+		d.Groups = append(d.Groups, Group{Spec: spec, Count: du.left, Zone: z.pin, Since: time.UnixMilli(j.AtMs)})
+	}
+	if (du.assured || du.rank <= wire.Rank(wire.PriorityHigh)) && (!gang || spec.Tasks == 1) {
+		for i := range min(short, tuning.PreemptTasks) {
+			r.preempt(du, i, s, &z)
+		}
 	}
-	r.log.Debug("job waits", "job", j.Spec.ID, "why", why, "machine", machine, "pending", j.Pending())
 }
 
-// rooms counts how many tasks of a kind each part could take.
-func (r *round) rooms(s *wire.Spec, need world.Amount, nodes []*node) map[int]int {
-	out := map[int]int{}
-	for _, n := range nodes {
-		if n.ready && allowed(s, n.m) {
-			out[n.m.Part] += fits(need, n.free)
+// roomiest is the zone with the most room for tasks of a kind.
+func roomiest(need world.Amount, lists ...[]*node) string {
+	room := map[string]int{}
+	best := ""
+	for _, list := range lists {
+		for _, n := range list {
+			room[n.m.Zone] += fits(need, n.free)
 		}
 	}
-	return out
+	for zone, c := range room {
+		if best == "" || c > room[best] || c == room[best] && zone < best {
+			best = zone
+		}
+	}
+	return best
 }
 
-// share is the scarcest part of a machine that is free.
-func share(free, capacity world.Amount) float64 {
-	s := 1.0
-	for _, d := range [][2]float64{{free.CPUs, capacity.CPUs}, {free.GPUs, capacity.GPUs}, {free.Mem, capacity.Mem}} {
-		if d[1] > 0 {
-			s = min(s, d[0]/d[1])
+// home is the part that a job is dealt to: where its tasks already are, else
+// the first in an order of its own that has room for all of them. All nodes
+// find the same without a word; where views differ, the records' guards decide.
+func (r *round) home(du *due, fit []*node) int {
+	rooms := make([]int, r.world.Size)
+	for _, n := range fit {
+		rooms[n.m.Part] += fits(du.need, n.free)
+	}
+	best := -1
+	for p, n := range du.job.Where {
+		if n > 0 && rooms[p] > 0 && (best < 0 || n > du.job.Where[best]) {
+			best = p
 		}
 	}
-	return max(s, 0)
+	if best >= 0 {
+		return best
+	}
+	first := r.first(du.job)
+	for i := range rooms {
+		if p := (first + i) % r.world.Size; rooms[p] >= du.left {
+			return p
+		}
+	}
+	return first
 }
 
-// fits is how many times need goes into free.
-func fits(need, free world.Amount) int {
-	c := math.MaxInt32
-	for _, d := range [][2]float64{{need.CPUs, free.CPUs}, {need.GPUs, free.GPUs}, {need.Mem, free.Mem}} {
-		if d[0] > 0 {
-			c = min(c, int((d[1]+1e-6)/d[0]))
+// first is the first part in a job's own order whose owner lives.
+func (r *round) first(j *world.Job) int {
+	h := world.PartOf(j.Spec.ID, r.world.Size)
+	for i := range r.world.Size {
+		if p := (h + i) % r.world.Size; r.live[p] {
+			return p
 		}
 	}
-	return max(c, 0)
+	return h
 }
 
-// pick chooses a machine: the image at hand first, then the part with the most
-// room, then the first that fits.
-func (r *round) pick(j *world.Job, need world.Amount, nodes []*node, rooms map[int]int, z *zones, also func(*node) bool) *node {
-	var best *node
-	var bestImage, bestKept bool
-	for _, n := range nodes {
-		if !n.ready || !need.Within(n.free) || !allowed(&j.Spec, n.m) || !z.open(n.m.Zone) {
+// waited tells whether the owner of the part that a job was dealt to has had
+// time to take it: if it does not, whoever has room may.
+func (r *round) waited(du *due) bool {
+	id, n := du.job.Spec.ID, du.job.Pending()
+	w, ok := r.waits[id]
+	if !ok || w.pending != n || r.now.Sub(w.seen) > tuning.DealHold {
+		w = wait{since: r.now, pending: n} // it moved on, or there was no room in between
+	}
+	w.seen = r.now
+	r.waits[id] = w
+	return r.now.Sub(w.since) > tuning.DealHold
+}
+
+// choose takes room for a job's tasks on machines, the preferred ones first:
+// room that was freed for it, spot machines, those that hold its image, and
+// those in use, so that others stay whole.
+func (r *round) choose(du *due, fit []*node, z *zones, also func(*node) bool) []*node {
+	spec := &du.job.Spec
+	var tiers [16][]*node
+	for _, n := range fit {
+		if n.kept != "" && n.kept != spec.ID || also != nil && !also(n) || !z.open(n.m.Zone) {
 			continue
 		}
-		if n.kept != "" && n.kept != j.Spec.ID || also != nil && !also(n) {
-			continue
+		t := 0
+		if n.kept == "" {
+			t |= 8
 		}
-		image := n.images[j.Spec.Image] || n.mine && r.fleet.HasImage(n.m.Name, j.Spec.Image)
-		kept := n.kept == j.Spec.ID
-		if best == nil || kept && !bestKept || kept == bestKept && (image && !bestImage ||
-			image == bestImage && (n.m.Spot && !best.m.Spot || n.m.Spot == best.m.Spot && rooms[n.m.Part] > rooms[best.m.Part])) {
-			best, bestImage, bestKept = n, image, kept
+		if !n.m.Spot {
+			t |= 4
 		}
+		if n.m.Images[spec.Image] == 0 && !(n.mine && r.holds(spec.Image, n)) {
+			t |= 2
+		}
+		if n.free == n.capacity {
+			t |= 1
+		}
+		tiers[t] = append(tiers[t], n)
 	}
-	return best
+	var picks []*node
+	for _, tier := range tiers {
+		for _, n := range tier {
+			for du.left > 0 && du.need.Within(n.free) && z.open(n.m.Zone) {
+				n.free = n.free.Plus(du.need, -1)
+				z.add(du.job, n.m.Zone)
+				picks = append(picks, n)
+				du.left--
+			}
+			if du.left == 0 {
+				return picks
+			}
+		}
+	}
+	return picks
+}
+
+// holds tells whether a machine of this node's parts is believed to hold an image.
+func (r *round) holds(image string, n *node) bool {
+	set, ok := r.holders[image]
+	if !ok {
+		set = r.fleet.Holders(image)
+		r.holders[image] = set
+	}
+	return set[n.m.Name]
 }
 
-// booting finds a machine that is still coming up, or not usable just now, for
-// a task that has to wait: no other need be rented for it.
-func (r *round) booting(j *world.Job, need world.Amount, nodes []*node, z *zones) *node {
-	for _, n := range nodes {
-		if !n.ready && need.Within(n.free) && allowed(&j.Spec, n.m) && z.open(n.m.Zone) {
-			return n
+// bindTasks binds waiting tasks of a job to those of the machines that are this
+// node's.
+func (r *round) bindTasks(du *due, chunk int, picks []*node) {
+	j, spec := du.job, &du.job.Spec
+	picks = slices.DeleteFunc(picks, func(n *node) bool { return !n.mine })
+	looked, end := 0, spec.Tasks
+	if spec.Spread {
+		end = min(end, (chunk+1)*tuning.ChunkTasks)
+	}
+	for i := chunk * tuning.ChunkTasks; i < end && len(picks) > 0 && looked < tuning.JobSlice; i++ {
+		k := i / tuning.ChunkTasks
+		if i%tuning.ChunkTasks == 0 && (j.Settled(k) || r.busy[recordKey(j, k)]) {
+			i += tuning.ChunkTasks - 1 // nothing waits in this record, or it can't be changed now
+			continue
+		}
+		t := r.task(j, i)
+		if t.State != world.Idle {
+			continue
+		}
+		looked++
+		n := picks[0]
+		if !r.bind(du, i, t.Attempt+1, n, n.m.Part) {
+			return
 		}
+		picks = picks[1:]
 	}
-	return nil
 }
 
-// bind adds a task to the records' changes, if its team's grant covers it.
-func (r *round) bind(du *due, i int, attempt uint64, n *node, need world.Amount) bool {
+// bind adds a task to the records' changes, if its team's grant of a part
+// covers it.
+func (r *round) bind(du *due, i int, attempt uint64, n *node, charge int) bool {
 	j := du.job
 	team := j.Spec.Team
-	if r.bound >= tuning.RoundTasks || !r.quota.Allowed(n.m.Part, team, r.use(n.m.Part, team).Plus(need, 1)) {
+	if j.Spec.Kind != wire.KindGang && r.bound >= tuning.RoundTasks || !r.quota.Allowed(charge, team, r.use(charge, team).Plus(du.need, 1)) {
 		r.waiting(j, "its team's grant in this part, or the round is full", n)
 		return false
 	}
@@ -434,16 +492,24 @@
 		r.waiting(j, "a change of its record is on its way", nil)
 		return false
 	}
-	session := r.fleet.Look(n.m.Name, r.tokens[n.m.Part]).Session
+	session := max(n.m.Session, 1)
+	if n.mine {
+		session = r.fleet.Look(n.m.Name, r.tokens[n.m.Part]).Session
+	}
 	ref := world.TaskRef{Job: j.Spec.ID, Index: i}
-	ed.tasks[i] = world.Task{Index: i, State: world.Bound, Attempt: attempt, Machine: n.m.Name, Session: session}
+	t := world.Task{Index: i, State: world.Bound, Attempt: attempt, Machine: n.m.Name, Session: session}
+	if charge != n.m.Part {
+		t.Charge = charge + 1
+	}
+	ed.tasks[i] = t
+	ed.parts[charge] = true
 	ed.parts[n.m.Part] = true
-	b := bind{ref, n.m.Name, n.m.Part, team, need}
+	b := bind{ref, n.m.Name, charge, team, du.need}
 	ed.binds = append(ed.binds, b)
 	r.move(b)
 	r.bound++
 	r.took(du, b, attempt)
-	delete(r.waits, ref)
+	delete(r.waits, j.Spec.ID)
 	if n.kept == j.Spec.ID {
 		delete(r.held, n.m.Name)
 		n.kept = ""
@@ -452,11 +518,13 @@
 	return true
 }
 
-// placeGang places all tasks of a gang or none. A gang that is partly bound by
-// another node is completed with the same attempt.
-func (r *round) placeGang(du *due, nodes []*node, total map[string]world.Amount, d *Demand) {
+// placeGang gives a gang room for all its tasks or none. One node does so for
+// each gang, over the machines of all parts, in one transaction: the owner of
+// the part that the gang is dealt to, whose grant it uses. The owners of its
+// machines start the tasks as they see them bound. Where an owner has used the
+// room meanwhile, its worker refuses and the gang is placed anew.
+func (r *round) placeGang(du *due, s *stock) {
 	j, spec := du.job, &du.job.Spec
-	need := world.Need(spec)
 	var attempt uint64
 	var idle []int
 	forming := false
@@ -469,137 +537,116 @@
 			forming = true
 		}
 	}
-	if forming {
-		for _, i := range idle {
-			if r.task(j, i).Attempt >= attempt {
-				r.waiting(j, "its last attempt has not left yet", nil)
-				return
-			}
-		}
-	} else {
+	du.left = len(idle)
+	if r.busy[world.JobKey(spec.ID)] || forming && slices.ContainsFunc(idle, func(i int) bool { return r.task(j, i).Attempt >= attempt }) {
+		r.waiting(j, "its last attempt has not left yet, or a change is on its way", nil)
+		du.left = 0
+		return
+	}
+	if !forming { // else one too long for a transaction is completed
 		attempt++
 	}
-	if limit, ok := r.quota.Limit(spec.Team); ok && !total[spec.Team].Plus(need, float64(len(idle))).Within(limit) {
-		r.waiting(j, "team's limit", nil)
+	// One that has room in its own part stays there: images are known best.
+	du.home = r.first(j)
+	z := r.zones(j, 0)
+	fit := s.fitting(spec, du.need, true)
+	inPart := func(n *node) bool { return n.m.Part == du.home }
+	picks := r.chooseZone(du, fit, z, inPart)
+	if picks == nil {
+		picks = r.chooseZone(du, fit, z, nil)
+	}
+	if picks == nil {
+		r.waiting(j, "no room for all its tasks", nil)
 		return
 	}
-	total[spec.Team] = total[spec.Team].Plus(need, float64(len(idle)))
-	pinned := r.zones(j, 0)
-	choices := []string{""}
-	if spec.OneZone && pinned.pin == "" {
-		seen := map[string]bool{}
-		choices = nil
-		for _, n := range nodes {
-			if !seen[n.m.Zone] {
-				seen[n.m.Zone] = true
-				choices = append(choices, n.m.Zone)
-			}
-		}
+	du.left = 0
+	_, mine := r.tokens[du.home]
+	if !mine || r.bound+len(picks) > tuning.RoundTasks && r.bound > 0 {
+		return
 	}
-	rooms := r.rooms(spec, need, nodes)
-	var best []*node
-	bestScore := -1
-	for _, zone := range choices {
-		z := pinned
-		z.count = maps.Clone(pinned.count)
-		if zone != "" {
-			z.pin = zone
-		}
-		var picks []*node
-		score := 0
-		for range idle {
-			n := r.pick(j, need, nodes, rooms, &z, nil)
-			if n == nil {
-				break
-			}
-			picks = append(picks, n)
-			n.free = n.free.Plus(need, -1)
-			z.add(j, n.m.Zone)
-			if n.images[spec.Image] {
-				score++
-			}
-		}
-		for _, n := range picks {
-			n.free = n.free.Plus(need, 1)
-		}
-		if len(picks) == len(idle) && score > bestScore {
-			best, bestScore = picks, score
-		}
+	// All or nothing: the grant must cover it whole.
+	if !r.quota.Allowed(du.home, spec.Team, r.use(du.home, spec.Team).Plus(du.need, float64(len(picks)))) {
+		r.waiting(j, "its team's grant in this part", nil)
+		return
 	}
-	if best == nil {
-		r.waiting(j, "no room for all its tasks", nil)
-		missing := 0
-		z := pinned
-		z.count = maps.Clone(pinned.count)
-		for range idle {
-			n := r.pick(j, need, nodes, rooms, &z, nil)
-			if n == nil {
-				n = r.booting(j, need, nodes, &z)
-			}
-			if n == nil {
-				missing++
+	for x, n := range picks {
+		r.bind(du, idle[x], attempt, n, du.home)
+	}
+}
+
+// chooseZone takes room for all of a gang's tasks, in one zone if it must; nil
+// and no room taken if there is none.
+func (r *round) chooseZone(du *due, fit []*node, z zones, also func(*node) bool) []*node {
+	zones := []string{""}
+	if du.job.Spec.OneZone && z.pin == "" {
+		room, images := map[string]int{}, map[string]int{}
+		zones = nil
+		for _, n := range fit {
+			if n.kept != "" && n.kept != du.job.Spec.ID || also != nil && !also(n) {
 				continue
 			}
-			n.free = n.free.Plus(need, -1) // kept whole for it
-			z.add(j, n.m.Zone)
-		}
-		if missing > 0 {
-			d.Groups = append(d.Groups, Group{spec, missing, time.UnixMilli(j.AtMs)})
-		}
-		if spec.Tasks == 1 {
-			z := pinned
-			r.preempt(du, world.TaskRef{Job: spec.ID, Index: 0}, need, nodes, &z)
+			if room[n.m.Zone] == 0 {
+				zones = append(zones, n.m.Zone)
+			}
+			c := fits(du.need, n.free)
+			room[n.m.Zone] += c
+			if n.m.Images[du.job.Spec.Image] > 0 || n.mine && r.holds(du.job.Spec.Image, n) {
+				images[n.m.Zone] += c
+			}
 		}
-		return
+		zones = slices.DeleteFunc(zones, func(zone string) bool { return room[zone] < du.left })
+		slices.SortFunc(zones, func(a, b string) int {
+			return cmp.Or(-cmp.Compare(min(images[a], du.left), min(images[b], du.left)), cmp.Compare(a, b))
+		})
 	}
-	for x, i := range idle {
-		n := best[x]
-		n.free = n.free.Plus(need, -1)
-		n.images[spec.Image] = true
-		if n.mine {
-			r.bind(du, i, attempt, n, need)
+	for _, zone := range zones {
+		try := z
+		try.count = maps.Clone(z.count)
+		if zone != "" {
+			try.pin = zone
 		}
+		picks := r.choose(du, fit, &try, also)
+		if du.left == 0 {
+			return picks
+		}
+		give(du, picks)
 	}
+	return nil
 }
 
 // preempt frees room for a task of higher priority on the machine of this
-// node's parts where the least work is lost.
-func (r *round) preempt(du *due, ref world.TaskRef, need world.Amount, nodes []*node, z *zones) {
+// node's parts where the least work is lost. All nodes play this round, but only
+// an owner knows what its tasks would lose: the part is chosen by what all know,
+// the machine by its owner.
+func (r *round) preempt(du *due, i int, s *stock, z *zones) {
+	ref := world.TaskRef{Job: du.job.Spec.ID, Index: i}
 	for _, h := range r.held {
 		if h.ref == ref {
 			return // room is being freed for it already
 		}
 	}
-	// All nodes play this round, but only an owner knows what its tasks would
-	// lose: the part is chosen by what all know, the machine by its owner.
-	type choice struct {
-		n    *node
-		list []world.Binding
+	if r.stops >= tuning.RoundStops {
+		return
 	}
-	byPart := map[int][]choice{}
-	for _, n := range nodes {
-		if !n.ready || n.kept != "" || !allowed(&du.job.Spec, n.m) || !z.open(n.m.Zone) {
+	byPart := make([][]*node, r.world.Size)
+	for _, n := range s.ready {
+		if n.kept != "" || !allowed(&du.job.Spec, n.m) || !z.open(n.m.Zone) {
 			continue
 		}
-		var list []world.Binding
-		for _, b := range n.m.Bound {
-			if r.yields(&b.Job.Spec, du) && b.Job.Spec.Kind != wire.KindService &&
-				(b.Job.Spec.Kind != wire.KindGang || b.Job.Spec.Tasks == 1) && !b.Job.Cancelled() {
-				list = append(list, b)
-			}
-		}
 		free := n.free
-		for _, b := range list {
-			free = free.Plus(world.Need(&b.Job.Spec), 1)
+		for rank := du.rank; rank < len(n.m.Yield); rank++ {
+			free = free.Plus(n.m.Yield[rank], 1)
 		}
-		if len(list) > 0 && need.Within(free) {
-			byPart[n.m.Part] = append(byPart[n.m.Part], choice{n, list})
+		if need := du.need; need.Within(free) && !need.Within(n.free) {
+			byPart[n.m.Part] = append(byPart[n.m.Part], n)
 		}
 	}
-	part, most := -1, 0
-	for p := range r.world.Size {
-		if p := (p + ref.Index) % r.world.Size; len(byPart[p]) > most {
-			part, most = p, len(byPart[p])
+	first := (r.first(du.job) + i) % r.world.Size
+	part := -1
+	for k := range byPart {
+		if p := (first + k) % r.world.Size; len(byPart[p]) > 0 {
+			part = p
+			break
 		}
 	}
 	if part < 0 {
@@ -611,28 +658,35 @@
 	var best *node
 	var victims []world.Binding
 	bestCost := math.Inf(1)
-	for _, c := range byPart[part] {
-		slices.SortFunc(c.list, func(a, b world.Binding) int {
+	for _, n := range byPart[part][:min(len(byPart[part]), tuning.PreemptLook)] {
+		var list []world.Binding
+		for _, b := range n.m.Bound {
+			if r.yields(&b.Job.Spec, du) && !b.Job.Cancelled() && world.Yields(&b.Job.Spec) && !r.fleet.Stopping(b) {
+				list = append(list, b)
+			}
+		}
+		slices.SortFunc(list, func(a, b world.Binding) int {
 			return cmp.Or(-cmp.Compare(wire.Rank(a.Job.Spec.Priority), wire.Rank(b.Job.Spec.Priority)),
-				cmp.Compare(r.cost(a, c.n), r.cost(b, c.n)), cmp.Compare(a.Ref.String(), b.Ref.String()))
+				cmp.Compare(r.cost(a, n), r.cost(b, n)), cmp.Compare(a.Ref.String(), b.Ref.String()))
 		})
-		free, cost := c.n.free, 0.0
+		free, cost := n.free, 0.0
 		var take []world.Binding
-		for _, b := range c.list {
-			if need.Within(free) {
+		for _, b := range list {
+			if du.need.Within(free) {
 				break
 			}
 			free = free.Plus(world.Need(&b.Job.Spec), 1)
-			cost += r.cost(b, c.n)
+			cost += r.cost(b, n)
 			take = append(take, b)
 		}
-		if cost < bestCost {
-			best, victims, bestCost = c.n, take, cost
+		if du.need.Within(free) && cost < bestCost {
+			best, victims, bestCost = n, take, cost
 		}
 	}
 	if best == nil {
 		return
 	}
+	r.stops++
 	best.kept = ref.Job
 	best.free = world.Amount{}
 	r.held[best.m.Name] = reserve{ref, r.now.Add(tuning.PreemptHold)}
@@ -646,6 +700,19 @@
 	}
 }
 
+// waiting logs now and then why a job waits.
+func (r *round) waiting(j *world.Job, why string, n *node) {
+	if !r.log.Enabled(r.ctx, slog.LevelDebug) || r.now.Sub(r.told[j.Spec.ID]) < tuning.WhyEvery {
+		return
+	}
+	r.told[j.Spec.ID] = r.now
+	machine := ""
+	if n != nil {
+		machine = n.m.Name
+	}
+	r.log.Debug("job waits", "job", j.Spec.ID, "why", why, "machine", machine, "pending", j.Pending())
+}
+
 // yields tells whether a task may be stopped for a waiting job: it has a lower
 // priority, or another team borrows with it what the job's team is guaranteed.
 func (r *round) yields(s *wire.Spec, du *due) bool {
--- a/internal/place/settle.go
+++ b/internal/place/settle.go
@@ -17,15 +17,20 @@
 // round is one look at the view; it collects the changes to make.
 type round struct {
 	*Engine
-	now    time.Time
-	tokens map[int]uint64
-	stamps map[int]uint64
-	edits  map[editKey]*edit
-	out    []*change
-	moveM  map[string]world.Amount // on their way, by machine
-	moveP  map[int]map[string]world.Amount
-	bound  int
-	gangs  map[gangKey]bool // whether an attempt is broken, looked at once a round
+	now     time.Time
+	tokens  map[int]uint64
+	stamps  map[int]uint64
+	edits   map[editKey]*edit
+	out     []*change
+	moveM   map[string]world.Amount // on their way, by machine
+	moveP   map[int]map[string]world.Amount
+	moveJ   map[string]int // tasks on their way, by job
+	live    []bool         // parts whose owner lives
+	bound   int
+	stops   int                        // machines on which room is being freed in this round
+	holders map[string]map[string]bool // machines of this node's parts by image
+	blocked bool                       // a task's end could not be written yet
+	gangs   map[gangKey]bool           // whether an attempt is broken, looked at once a round
 	// assured holds the jobs within their team's guarantee.
 	assured map[string]bool
 	seen    *learn.State // what this round chooses in
@@ -54,18 +59,18 @@
 
 func (e *Engine) newRound(now time.Time) *round {
 	r := &round{Engine: e, now: now, tokens: map[int]uint64{}, stamps: map[int]uint64{}, edits: map[editKey]*edit{}, gangs: map[gangKey]bool{},
-		moveM: map[string]world.Amount{}, moveP: map[int]map[string]world.Amount{}}
+		moveM: map[string]world.Amount{}, moveP: map[int]map[string]world.Amount{}, moveJ: map[string]int{},
+		holders: map[string]map[string]bool{}, live: make([]bool, e.world.Size)}
 	for p := range e.world.Size {
+		_, r.live[p] = e.member.OwnerOf(p)
 		r.moveP[p] = map[string]world.Amount{}
 		if token, stamp, ok := e.member.Owns(p); ok {
 			r.tokens[p], r.stamps[p] = token, stamp
 			if _, had := e.owned[p]; !had {
 				e.owned[p] = now
 				// A new owner hears of its machines at once rather than at their next report.
-				for name, m := range e.world.Machines {
-					if m.Part == p {
-						e.fleet.Kick(name)
-					}
+				for _, m := range e.world.ByPart[p] {
+					e.fleet.Kick(m.Name)
 				}
 			}
 		} else if _, entitled := e.member.Entitled(p); !entitled {
@@ -83,6 +88,7 @@
 func (r *round) move(b bind) {
 	r.moveM[b.machine] = r.moveM[b.machine].Plus(b.need, 1)
 	r.moveP[b.part][b.team] = r.moveP[b.part][b.team].Plus(b.need, 1)
+	r.moveJ[b.ref.Job]++
 }
 
 // use is what a team's tasks of a part take, those on their way included.
@@ -124,6 +130,7 @@
 
 // release ends a binding in the record.
 func (r *round) release(b world.Binding, machine string, state int, why string) {
+	r.blocked = true
 	ed := r.edit(b.Job, b.Ref.Index)
 	if ed == nil {
 		return
@@ -141,14 +148,26 @@
 	r.log.Debug("task leaves machine", "task", b.Ref, "attempt", b.Attempt, "machine", machine, "why", why)
 }
 
-// settle carries out what became of the tasks bound in this node's parts.
+// settle carries out what became of the tasks bound in this node's parts, on
+// machines of which something new is known. One with a task that is to leave it
+// is looked at again until it has left.
 func (r *round) settle() {
-	for name, m := range r.world.Machines {
+	look := slices.Sorted(maps.Keys(r.look))
+	clear(r.look)
+	for _, name := range look {
+		m := r.world.Machines[name]
+		if m == nil {
+			continue
+		}
 		token, mine := r.tokens[m.Part]
 		if !mine {
 			continue
 		}
-		gone := m.Gone && r.gone[name]
+		r.blocked = false
+		if s := r.fleet.Look(name, token); !s.Recall.IsZero() {
+			r.evacuate(m)
+		}
+		gone := (m.Gone || m.Drain) && r.gone[name]
 		for _, b := range m.Bound {
 			if gone {
 				r.release(b, name, world.Idle, "machine deleted")
@@ -156,7 +175,10 @@
 			}
 			r.settleTask(b, name, token)
 		}
-		if gone && len(m.Bound) == 0 && !r.busy[world.MachineKey(name)] {
+		if r.blocked || gone {
+			r.look[name] = struct{}{}
+		}
+		if gone && len(m.Bound) == 0 && m.Stamp != 0 && !r.world.Rented(name) && !r.busy[world.MachineKey(name)] {
 			r.out = append(r.out, &change{
 				what: "forget machine " + name, keys: []string{world.MachineKey(name)}, parts: []int{m.Part},
 				item: store.Item{
@@ -195,7 +217,7 @@
 		}
 	case fleet.Alive:
 		if t.State != wire.TaskFetching {
-			r.fleet.NoteImage(name, spec.Image)
+			r.noteImage(name, spec)
 		}
 		r.alive(b, t)
 	case fleet.Exited:
@@ -210,11 +232,18 @@
 	}
 }
 
+// noteImage notes that a machine has used a job's image.
+func (r *round) noteImage(name string, spec *wire.Spec) {
+	if m := r.world.Machines[name]; m != nil {
+		r.fleet.NoteImage(name, spec.Image, spec.ImageGB, r.world.Types[m.Type].CacheGB)
+	}
+}
+
 func (r *round) exited(b world.Binding, name string, t fleet.Task) {
 	spec := &b.Job.Spec
 	switch t.Cause {
 	case wire.CauseDone:
-		r.fleet.NoteImage(name, spec.Image)
+		r.noteImage(name, spec)
 		if spec.Kind == wire.KindService {
 			r.fail(spec.ID, r.now)
 			r.release(b, name, world.Idle, "service ended")
@@ -402,8 +431,13 @@
 		c.keys = append(c.keys, key)
 	}
 	for _, p := range slices.Sorted(maps.Keys(parts)) {
-		c.parts = append(c.parts, p)
-		guards[world.PartKey(p)] = r.stamps[p]
+		if stamp, mine := r.stamps[p]; mine {
+			c.parts = append(c.parts, p)
+			guards[world.PartKey(p)] = stamp
+		} else {
+			// A gang's machine in another node's part, while that node owns it.
+			guards[world.PartKey(p)] = r.world.Parts[p].Stamp
+		}
 	}
 	for _, k := range slices.Sorted(maps.Keys(guards)) {
 		c.item.Guards = append(c.item.Guards, wire.Guard{Key: k, Stamp: guards[k]})
@@ -428,8 +462,13 @@
 		} else {
 			r.log.Info("adopting a machine", "machine", name, "type", rep.Type, "zone", rep.Zone)
 		}
-		rec.Type, rec.Zone, rec.Spot, rec.Address, rec.Up = rep.Type, rep.Zone, rep.Spot, rep.Address, true
+		rec.Type, rec.Zone, rec.Spot, rec.Address, rec.Up, rec.Session = rep.Type, rep.Zone, rep.Spot, rep.Address, true, rep.Session
+		if rec.Session == 1 {
+			rec.Session = 0
+		}
 		r.writeMachine("machine is up "+name, name, part, rec, stamp)
+		// Others only plan with it: its owner uses it at once.
+		r.out[len(r.out)-1].item.Lazy = m != nil
 	}
 }
 
@@ -485,11 +524,8 @@
 		case r.now.Sub(last) > deadAfter:
 			silent++
 			list = append(list, due{m, fmt.Sprintf("silent for %v", r.now.Sub(last).Round(time.Second)), true})
-		case len(m.Bound) == 0 && r.moveM[name] == (world.Amount{}) && (m.Drain || s.Errors >= tuning.MachineErrors):
-			list = append(list, due{m, "drained", false})
-		}
-		if !s.Recall.IsZero() {
-			r.evacuate(m)
+		case len(m.Bound) == 0 && r.moveM[name] == (world.Amount{}) && s.Errors >= tuning.MachineErrors:
+			list = append(list, due{m, "failing", false})
 		}
 		if s.Doubt && r.unwanted(m) && r.now.Sub(r.fenced[m.Part]) > tuning.FenceEvery {
 			// A start in doubt could still run a task that must not: raise the token.
--- a/internal/place/value.go
+++ b/internal/place/value.go
@@ -62,10 +62,8 @@
 		dt := r.now.Sub(v.last)
 		fade := math.Pow(0.5, dt.Seconds()/tuning.UtilizationFade.Seconds())
 		held := 0
-		for _, m := range r.world.Machines {
-			if _, mine := r.stamps[m.Part]; mine {
-				held++
-			}
+		for p := range r.stamps {
+			held += len(r.world.ByPart[p])
 		}
 		v.finished, v.paid = v.finished*fade, v.paid*fade+float64(held)*dt.Seconds()
 	}
@@ -162,26 +160,35 @@
 }
 
 // order sorts the waiting jobs. Priority comes first and is never crossed, then
-// what lies within its team's guarantee; then jobs whose deadline is in danger, by deadline; then the learned values, or
-// while the learner is cold the earliest deadline and arrival.
-func (r *round) order(list []due) {
-	warm := r.op.Learn && r.values.learner.Warm()
+// what lies within its team's guarantee; then jobs whose deadline is in danger,
+// by deadline; then the learned values, or while the learner is cold the
+// earliest deadline and arrival. Values are asked for the first of them only, and
+// only if there is room to start any.
+func (r *round) order(list []due, room bool) {
+	guarded := func(a, b due) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), -compareBool(a.assured, b.assured), -compareBool(a.pressing, b.pressing))
+	}
+	slices.SortFunc(list, func(a, b due) int {
+		return cmp.Or(guarded(a, b), a.deadline.Compare(b.deadline), cmp.Compare(a.job.AtMs, b.job.AtMs), cmp.Compare(a.job.Spec.ID, b.job.Spec.ID))
+	})
+	warm := room && r.op.Learn && len(list) > 0 && r.values.learner.Warm()
 	if warm {
 		s := r.state()
 		r.seen = &s
-		for i := range list[:min(len(list), tuning.LearnCandidates)] {
-			d := &list[i]
+		first := list[:min(len(list), tuning.LearnCandidates)]
+		for i := range first {
+			d := &first[i]
 			d.choice = r.values.learner.Score(&s, r.action(d.job))
 			d.scored = true
 		}
+		slices.SortStableFunc(first, func(a, b due) int {
+			c := guarded(a, b)
+			if c == 0 && !a.pressing {
+				c = -cmp.Compare(a.choice.Value, b.choice.Value)
+			}
+			return c
+		})
 	}
-	slices.SortStableFunc(list, func(a, b due) int {
-		c := cmp.Or(cmp.Compare(a.rank, b.rank), -compareBool(a.assured, b.assured), -compareBool(a.pressing, b.pressing))
-		if c == 0 && a.scored && b.scored && !a.pressing {
-			c = -cmp.Compare(a.choice.Value, b.choice.Value)
-		}
-		return cmp.Or(c, a.deadline.Compare(b.deadline), cmp.Compare(a.job.AtMs, b.job.AtMs), cmp.Compare(a.job.Spec.ID, b.job.Spec.ID))
-	})
 	if !warm {
 		return
 	}
--- a/internal/pool/cloud.go
+++ b/internal/pool/cloud.go
@@ -28,17 +28,38 @@
 
 // Cloud is the client of the cloud, within a rate.
 type Cloud struct {
-	base string
-	http *http.Client
-	pace *rate.Limiter
+	base   string
+	http   *http.Client
+	pace   *rate.Limiter
+	lead   float64 // the leader's rate, which rents and lists for all
+	follow float64 // another node's, which only returns its parts' machines
 }
 
-// NewCloud makes a client of the cloud at addr.
-func NewCloud(addr string, rps float64, rt http.RoundTripper) *Cloud {
+// NewCloud makes a client of the cloud at addr; all nodes together keep to rps.
+func NewCloud(addr string, rps float64, nodes int, rt http.RoundTripper) *Cloud {
 	if rt == nil {
 		rt = wire.Transport(tuning.CloudTimeout, tuning.IdleConns)
 	}
-	return &Cloud{base: "http://" + addr, http: &http.Client{Transport: rt}, pace: rate.NewLimiter(rate.Limit(rps), max(1, int(rps)))}
+	c := &Cloud{base: "http://" + addr, http: &http.Client{Transport: rt}, lead: rps * tuning.CloudShare}
+	if nodes > 1 {
+		c.follow = c.lead * (1 - tuning.CloudLead) / float64(nodes-1)
+		c.lead *= tuning.CloudLead
+	}
+	c.pace = rate.NewLimiter(rate.Limit(c.follow), 1)
+	c.Lead(nodes == 1)
+	return c
+}
+
+// Lead sets the rate by whether this node leads.
+func (c *Cloud) Lead(leads bool) {
+	limit := c.follow
+	if leads {
+		limit = c.lead
+	}
+	if c.pace.Limit() != rate.Limit(limit) {
+		c.pace.SetLimit(rate.Limit(limit))
+		c.pace.SetBurst(max(1, int(limit)))
+	}
 }
 
 func (c *Cloud) call(ctx context.Context, method, path string, in, out any) error {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -9,6 +9,7 @@
 	"maps"
 	"math"
 	"slices"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -35,8 +36,10 @@
 	commit *store.Committer
 	log    *slog.Logger
 
+	mu      sync.Mutex // guards serial and refused, as rentals are asked for at once
 	serial  int
 	refused map[kind]time.Time
+	rented  time.Time // when machines were last rented
 	idle    map[string]time.Time
 	unknown map[string]time.Time
 	listed  time.Time
@@ -49,8 +52,10 @@
 
 // arrival is a job that came lately and the room it takes.
 type arrival struct {
-	at   time.Time
-	room float64
+	at    time.Time
+	room  float64
+	spot  bool
+	whole bool // its tasks take most of a machine each
 }
 
 // kind is what a rental asks for.
@@ -203,6 +208,7 @@
 	p.world.RLock()
 	lead, leads := p.leads()
 	p.world.RUnlock()
+	p.cloud.Lead(leads)
 	if !leads {
 		clear(p.idle)
 		return
@@ -212,20 +218,15 @@
 		return
 	}
 	d := p.engine.Demand()
-	if time.Since(d.At) > 4*tuning.PlaceIdle {
-		return
+	if time.Since(d.At) > tuning.DemandStale || d.At.Before(p.rented) {
+		return // what was rented since is not counted in it
 	}
 	bins := p.learned(p.bins(d))
-	count := map[kind]int{}
-	for _, b := range bins {
-		count[b.kind]++
-	}
-	for _, k := range slices.SortedFunc(maps.Keys(count), compareKinds) {
-		p.rent(ctx, lead, k, count[k])
-	}
-	if len(bins) == 0 {
-		p.shrink(ctx, lead, d)
+	if len(bins) > 0 {
+		p.rentAll(ctx, lead, bins)
+		p.rented = time.Now()
 	}
+	p.shrink(ctx, lead, d, bins)
 }
 
 func compareKinds(a, b kind) int {
@@ -261,13 +262,23 @@
 	for _, g := range d.Groups {
 		s, need := g.Spec, world.Need(g.Spec)
 		late = now.Sub(g.Since) > tuning.StarveAfter
-		zone := s.Zone
+		zone, count := s.Zone, g.Count
+		if zone == "" && s.OneZone && g.Zone != "" {
+			// The rest of a gang has its room there; refused there, it needs all of
+			// its room elsewhere.
+			if _, ok := p.choose(s, g.Zone, held, now, anyZone); ok {
+				zone = g.Zone
+			} else {
+				count = s.Tasks
+			}
+		}
 		perZone := map[string]int{}
-		for range g.Count {
+		spreadOK := func(z string) bool { return !s.Spread || perZone[z] < (count+1)/2 }
+		at := 0 // the tasks of a group are alike: what does not fit one fits none of them
+		for range count {
 			var b *bin
-			spreadOK := func(z string) bool { return !s.Spread || perZone[z] < (g.Count+1)/2 }
-			for i := range out {
-				if o := &out[i]; need.Within(o.free) && (zone == "" || o.zone == zone) && (s.Spot || !o.spot) &&
+			for ; at < len(out); at++ {
+				if o := &out[at]; need.Within(o.free) && (zone == "" || o.zone == zone) && (s.Spot || !o.spot) &&
 					(len(s.Types) == 0 || slices.Contains(s.Types, o.typ)) && spreadOK(o.zone) {
 					b = o
 					break
@@ -286,23 +297,39 @@
 			}
 		}
 	}
-	spare := int(math.Ceil(p.step(now) - d.Room - 0.5))
 	late = false
+	step := p.step(now)
 	short := p.op.PoolMin - total - len(out)
-	for i := range max(spare, short) {
-		b := open(&wire.Spec{}, "", func(string) bool { return true })
+	spare := max(short, int(math.Ceil(step.room-d.Spare.Room-0.5)), int(math.Ceil(step.whole-float64(d.Spare.Whole)-0.5)))
+	for i := range spare {
+		b := open(&wire.Spec{}, "", anyZone)
 		if b == nil {
 			break
 		}
 		b.must = i < short
 	}
+	for range int(math.Ceil(step.spot - d.Spot.Room - 0.5)) {
+		if open(&wire.Spec{Spot: true}, "", anyZone) == nil {
+			break
+		}
+	}
 	return out
 }
 
-// step is the room to keep above what is booked, in machines: what arrives in
-// one boot time varies by its standard deviation, seen over a window of past
-// arrivals. Callers hold the world's lock.
-func (p *Pool) step(now time.Time) float64 {
+func anyZone(string) bool { return true }
+
+// step is the room to keep above what is booked, in machines.
+type step struct {
+	room  float64 // of ordinary machines
+	whole float64 // of these in machines that nothing uses
+	spot  float64 // of spot machines
+}
+
+// step is what arrives in one boot time more than usually: its standard
+// deviation, seen over a window of past arrivals. Work that may use spot
+// machines, work that may not, and tasks that take a machine each are counted
+// apart, as none can use the room kept for another. Callers hold the world's lock.
+func (p *Pool) step(now time.Time) step {
 	for id, j := range p.world.Jobs {
 		if _, ok := p.arrived[id]; ok || !j.Known {
 			continue
@@ -311,22 +338,32 @@
 		if now.Sub(at) > tuning.ArrivalWindow {
 			continue
 		}
-		p.arrived[id] = arrival{at, p.roomOf(&j.Spec)}
+		room := p.roomOf(&j.Spec)
+		p.arrived[id] = arrival{at, room, j.Spec.Spot, room > tuning.WholeShare*float64(j.Spec.Tasks)}
 	}
-	square := 0.0
+	var room, whole, spot float64
 	for id, a := range p.arrived {
-		if now.Sub(a.at) > tuning.ArrivalWindow {
+		square := a.room * a.room
+		switch {
+		case now.Sub(a.at) > tuning.ArrivalWindow:
 			delete(p.arrived, id)
-			continue
+		case a.spot:
+			spot += square
+		default:
+			room += square
+			if a.whole {
+				whole += square
+			}
 		}
-		square += a.room * a.room
 	}
 	boot := 0.0
 	for _, t := range p.world.Types {
 		boot = max(boot, t.BootS)
 	}
-	deviation := math.Sqrt(square * boot / tuning.ArrivalWindow.Seconds())
-	return max(float64(p.op.PoolStep), tuning.StepDeviations*deviation)
+	deviation := func(square float64) float64 {
+		return tuning.StepDeviations * math.Sqrt(square*boot/tuning.ArrivalWindow.Seconds())
+	}
+	return step{max(float64(p.op.PoolStep), deviation(room)), deviation(whole), deviation(spot)}
 }
 
 // roomOf is what a job takes, in machines of the largest type.
@@ -380,11 +417,40 @@
 	return best, found
 }
 
+// rentAll rents the machines, most needed kinds first, several requests at once.
+func (p *Pool) rentAll(ctx context.Context, lead wire.Guard, bins []bin) {
+	count := map[kind]int{}
+	var kinds []kind // in the order of need
+	for _, b := range bins {
+		if count[b.kind] == 0 {
+			kinds = append(kinds, b.kind)
+		}
+		count[b.kind]++
+	}
+	var g errgroup.Group
+	g.SetLimit(tuning.RentLanes)
+	for _, k := range kinds {
+		for n := count[k]; n > 0; n -= tuning.RentMax {
+			g.Go(func() error {
+				p.rent(ctx, lead, k, min(n, tuning.RentMax))
+				return nil
+			})
+		}
+	}
+	_ = g.Wait()
+}
+
 // rent writes a request's name, asks the cloud, and records the machines.
 func (p *Pool) rent(ctx context.Context, lead wire.Guard, k kind, count int) {
+	p.mu.Lock()
+	refused := time.Now().Before(p.refused[k])
 	p.serial++
 	name := fmt.Sprintf("r-%s-%x-%d", p.member.Self, p.member.Inc, p.serial)
-	rec := world.RentalRecord{Type: k.typ, Zone: k.zone, Spot: k.spot, Count: min(count, tuning.RentMax), AtMs: time.Now().UnixMilli()}
+	p.mu.Unlock()
+	if refused {
+		return // meanwhile
+	}
+	rec := world.RentalRecord{Type: k.typ, Zone: k.zone, Spot: k.spot, Count: count, AtMs: time.Now().UnixMilli()}
 	key := world.RentalKey(name)
 	rev, err := p.do(ctx, store.Item{
 		Guards: []wire.Guard{{Key: key, Stamp: 0}, lead}, Ops: []wire.Op{store.Set(key, rec)},
@@ -393,52 +459,84 @@
 		p.log.Info("rental not recorded", "err", err)
 		return
 	}
-	p.ask(ctx, name, rec, rev)
+	_ = p.ask(ctx, name, rec, rev)
 }
 
-// resume asks again for rentals whose answer is not known.
+// resume asks again for rentals whose answer is not known, and drops those whose
+// machines all have records of their own.
 func (p *Pool) resume(ctx context.Context, lead wire.Guard) bool {
 	p.world.RLock()
-	open := maps.Clone(p.world.Rentals)
+	open := map[string]world.Rental{}
+	var done []store.Item
+	for name, r := range p.world.Rentals {
+		if len(r.Machines) == 0 {
+			open[name] = r
+			continue
+		}
+		if !slices.ContainsFunc(r.Machines, func(n string) bool { m := p.world.Machines[n]; return m != nil && m.Stamp == 0 }) {
+			key := world.RentalKey(name)
+			done = append(done, store.Item{Guards: []wire.Guard{lead, {Key: key, Stamp: r.Stamp}}, Ops: []wire.Op{store.Drop(key)}})
+		}
+	}
 	p.world.RUnlock()
+	p.doAll(ctx, done, "rental record stays")
 	for _, name := range slices.Sorted(maps.Keys(open)) {
-		p.ask(ctx, name, open[name].RentalRecord, open[name].Stamp)
+		if p.ask(ctx, name, open[name].RentalRecord, open[name].Stamp) != nil {
+			break // the cloud is away: the others wait as well
+		}
 	}
 	return len(open) > 0
 }
 
-func (p *Pool) ask(ctx context.Context, name string, rec world.RentalRecord, stamp uint64) {
+// doAll makes changes that don't depend on each other, in few transactions.
+func (p *Pool) doAll(ctx context.Context, items []store.Item, failed string) {
+	var wg sync.WaitGroup
+	for _, it := range items {
+		wg.Go(func() {
+			if _, err := p.do(ctx, it); err != nil {
+				p.log.Debug(failed, "err", err)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func (p *Pool) ask(ctx context.Context, name string, rec world.RentalRecord, stamp uint64) error {
 	k := kind{rec.Type, rec.Zone, rec.Spot}
 	names, err := p.cloud.Rent(ctx, wire.Rental{Name: name, Type: rec.Type, Zone: rec.Zone, Spot: rec.Spot, Count: rec.Count})
 	switch {
 	case errors.Is(err, ErrNoCapacity) || errors.Is(err, ErrMalformed):
 		p.log.Info("rental refused", "type", k.typ, "zone", k.zone, "spot", k.spot, "count", rec.Count, "err", err)
-		p.refused[k] = time.Now().Add(tuning.RefusedHold)
+		p.refuse(k)
 	case err != nil:
 		p.log.Info("rental not answered", "rental", name, "err", err)
-		return
+		return err
 	default:
 		p.log.Info("machines rented", "type", k.typ, "zone", k.zone, "spot", k.spot, "asked", rec.Count, "got", names)
 		if len(names) < rec.Count {
-			p.refused[k] = time.Now().Add(tuning.RefusedHold)
-		}
-	}
-	for _, m := range names {
-		key := world.MachineKey(m)
-		it := store.Item{Guards: []wire.Guard{{Key: key, Stamp: 0}}, Ops: []wire.Op{
-			store.Set(key, world.MachineRecord{Type: rec.Type, Zone: rec.Zone, Spot: rec.Spot, AtMs: rec.AtMs})}}
-		if _, err := p.do(ctx, it); err != nil && !errors.Is(err, store.ErrGuard) {
-			return // asked again later: the same name gives the same machines
+			p.refuse(k)
 		}
 	}
+	// A change that fails is tried again later: the same name gives the same machines.
 	key := world.RentalKey(name)
-	if _, err := p.do(ctx, store.Item{Guards: []wire.Guard{{Key: key, Stamp: stamp}}, Ops: []wire.Op{store.Drop(key)}}); err != nil {
+	op := store.Drop(key)
+	if rec.Machines = names; len(names) > 0 {
+		op = store.Set(key, rec)
+	}
+	if _, err := p.do(ctx, store.Item{Guards: []wire.Guard{{Key: key, Stamp: stamp}}, Ops: []wire.Op{op}}); err != nil {
 		p.log.Debug("rental record stays", "rental", name, "err", err)
 	}
+	return nil
+}
+
+func (p *Pool) refuse(k kind) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refused[k] = time.Now().Add(tuning.RefusedHold)
 }
 
 // shrink marks machines that stood idle for the hold, beyond step and minimum.
-func (p *Pool) shrink(ctx context.Context, lead wire.Guard, d place.Demand) {
+func (p *Pool) shrink(ctx context.Context, lead wire.Guard, d place.Demand, bins []bin) {
 	now := time.Now()
 	idle := map[string]bool{}
 	for _, n := range d.Idle {
@@ -455,6 +553,10 @@
 	names := slices.SortedFunc(maps.Keys(p.idle), func(a, b string) int {
 		return cmp.Or(p.idle[a].Compare(p.idle[b]), cmp.Compare(a, b))
 	})
+	wanted := map[bool]bool{} // by market: whether more is wanted there
+	for _, b := range bins {
+		wanted[b.spot] = true
+	}
 	p.world.RLock()
 	total := 0
 	for _, m := range p.world.Machines {
@@ -463,13 +565,14 @@
 		}
 	}
 	var items []store.Item
-	left := d.Room - p.step(now)
+	step := p.step(now)
+	left := map[bool]float64{true: d.Spot.Room - step.spot, false: min(d.Spare.Room-step.room, float64(d.Spare.Whole)-step.whole)}
 	for _, n := range names {
 		m := p.world.Machines[n]
-		if left < 1 || total <= p.op.PoolMin {
+		if total <= p.op.PoolMin {
 			break
 		}
-		if m == nil || !m.Up || now.Sub(p.idle[n]) < config.Seconds(p.op.PoolHoldS) {
+		if m == nil || !m.Up || m.Drain || wanted[m.Spot] || left[m.Spot] < 1 || now.Sub(p.idle[n]) < config.Seconds(p.op.PoolHoldS) {
 			continue
 		}
 		rec := m.MachineRecord
@@ -478,15 +581,11 @@
 			Guards: []wire.Guard{lead, {Key: world.MachineKey(n), Stamp: m.Stamp}},
 			Ops:    []wire.Op{store.Set(world.MachineKey(n), rec)},
 		})
-		left--
+		left[m.Spot]--
 		total--
 	}
 	p.world.RUnlock()
-	for _, it := range items {
-		if _, err := p.do(ctx, it); err != nil {
-			p.log.Debug("machine not drained", "err", err)
-		}
-	}
+	p.doAll(ctx, items, "machine not drained")
 }
 
 // list compares the cloud's list with the records: machines that stopped are
@@ -530,9 +629,5 @@
 	}
 	p.world.RUnlock()
 	maps.DeleteFunc(p.unknown, func(n string, _ time.Time) bool { return !seen[n] })
-	for _, it := range items {
-		if _, err := p.do(ctx, it); err != nil {
-			p.log.Debug("machine not recorded", "err", err)
-		}
-	}
+	p.doAll(ctx, items, "machine not recorded")
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -3,6 +3,7 @@
 package quota
 
 import (
+	"math"
 	"strconv"
 	"time"
 
@@ -135,9 +136,10 @@
 			}
 		}
 		grant := q.Grants[strconv.Itoa(s.part)]
+		lot := k.lot(limit)
 		next := world.Amount{
-			CPUs: max(grant.CPUs, min(want.CPUs, limit.CPUs-others.CPUs)),
-			GPUs: max(grant.GPUs, min(want.GPUs, limit.GPUs-others.GPUs)),
+			CPUs: raise(grant.CPUs, want.CPUs, lot.CPUs, limit.CPUs-others.CPUs, limit.CPUs),
+			GPUs: raise(grant.GPUs, want.GPUs, lot.GPUs, limit.GPUs-others.GPUs, limit.GPUs),
 		}
 		if next != grant {
 			out = append(out, k.change(s, q, stamp, next))
@@ -145,11 +147,20 @@
 		delete(k.surplus, s)
 	}
 	for team, q := range k.world.Quotas {
+		limit, limited := k.Limit(team)
+		if limited && k.busy[team] || limited && k.ample(q, limit) {
+			continue // nobody needs what is not used
+		}
+		lot := k.lot(limit)
 		for p, g := range q.Grants {
 			part, _ := strconv.Atoi(p)
 			s := slot{part, team}
 			stamp, mine := owned[part]
 			used := bare(use(part, team))
+			if limited {
+				used = used.Plus(lot, 0.5)
+				used = world.Amount{CPUs: min(used.CPUs, g.CPUs), GPUs: min(used.GPUs, g.GPUs)}
+			}
 			if !mine || k.busy[team] || g.Within(used) {
 				delete(k.surplus, s)
 				continue
@@ -168,6 +179,28 @@
 	return out
 }
 
+// lot is the room a part is granted above what it needs.
+func (k *Keeper) lot(limit world.Amount) world.Amount {
+	f := tuning.GrantLot / float64(k.world.Size)
+	return world.Amount{CPUs: math.Floor(limit.CPUs * f), GPUs: math.Floor(limit.GPUs * f)}
+}
+
+// raise gives a grant that covers a want and a lot more, within what is left;
+// what only the lot asks for leaves the rest that others may want.
+func raise(grant, want, lot, left, limit float64) float64 {
+	more := min(want+lot, left-tuning.GrantRest*limit)
+	return max(grant, min(max(want, more), left))
+}
+
+// ample tells whether enough of a limit is ungranted for whoever wants more.
+func (k *Keeper) ample(q world.Quota, limit world.Amount) bool {
+	var sum world.Amount
+	for _, g := range q.Grants {
+		sum = sum.Plus(g, 1)
+	}
+	return sum.CPUs <= (1-tuning.GrantRest)*limit.CPUs && sum.GPUs <= (1-tuning.GrantRest)*limit.GPUs
+}
+
 func (k *Keeper) change(s slot, q world.Quota, stamp uint64, next world.Amount) Change {
 	grants := map[string]world.Amount{}
 	for p, g := range q.Grants {
--- a/internal/store/cache.go
+++ b/internal/store/cache.go
@@ -57,8 +57,8 @@
 func NewCache(c *Client, prefix string, sink Sink, log *slog.Logger) *Cache {
 	return &Cache{
 		client: c, prefix: prefix, sink: sink, log: log,
-		pace:   rate.NewLimiter(rate.Limit(c.limits.RPS*tuning.WatchRateShare), 2),
-		space:  rate.NewLimiter(rate.Limit(c.limits.RPS*tuning.SyncRateShare), 2),
+		pace:   rate.NewLimiter(rate.Limit(c.limits.RPS*c.limits.Share*tuning.WatchRateShare), 2),
+		space:  rate.NewLimiter(rate.Limit(c.limits.RPS*c.limits.Share*tuning.SyncRateShare), 2),
 		stamps: map[string]uint64{}, dropped: map[string]uint64{},
 		next: &barrier{done: make(chan struct{})}, wake: make(chan struct{}, 1),
 	}
--- a/internal/store/cache_test.go
+++ b/internal/store/cache_test.go
@@ -101,7 +101,7 @@
 		}
 		left := n
 		for len(c.queue) > 0 {
-			batch := c.take()
+			batch := c.take(8)
 			if len(batch) == 0 {
 				t.Fatal("an empty batch would stall the queue")
 			}
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -34,8 +34,10 @@
 	ErrRefused = errors.New("refused")
 )
 
-// Limits are this node's part of the service's budget and its sizes.
+// Limits are the service's budget, of which a node uses the share that SetShare
+// gives it, and its sizes.
 type Limits struct {
+	Share    float64 // at first
 	RPS      float64
 	WriteRPS float64
 	ValueKB  float64
@@ -57,15 +59,51 @@
 	if rt == nil {
 		rt = wire.Transport(tuning.StateTimeout, tuning.IdleConns)
 	}
-	burst := max(int(l.WriteRPS), l.TxnOps)
-	return &Client{
+	c := &Client{
 		base: "http://" + addr, http: &http.Client{Transport: rt}, limits: l,
-		reqs:   rate.NewLimiter(rate.Limit(l.RPS*(1-tuning.UrgentShare)), max(int(l.RPS/2), 4)),
-		urgent: rate.NewLimiter(rate.Limit(l.RPS*tuning.UrgentShare), max(int(l.RPS*tuning.UrgentShare), 4)),
-		writes: rate.NewLimiter(rate.Limit(l.WriteRPS), burst),
+		reqs: rate.NewLimiter(0, 0), urgent: rate.NewLimiter(0, 0), writes: rate.NewLimiter(0, 0),
+	}
+	if l.Share == 0 {
+		c.limits.Share = 1
+	}
+	c.SetShare(c.limits.Share)
+	return c
+}
+
+// SetShare sets the share of the service's budget that this node uses.
+func (c *Client) SetShare(share float64) {
+	l := &c.limits
+	set := func(lim *rate.Limiter, limit float64, burst int) {
+		if lim.Limit() != rate.Limit(limit) {
+			lim.SetLimit(rate.Limit(limit))
+			lim.SetBurst(burst)
+		}
+	}
+	reqs, writes := l.RPS*share, l.WriteRPS*share
+	set(c.reqs, reqs*(1-tuning.UrgentShare), max(int(reqs/2), 4))
+	set(c.urgent, reqs*tuning.UrgentShare, max(int(reqs*tuning.UrgentShare), 4))
+	set(c.writes, writes, max(int(writes), l.TxnOps))
+}
+
+// writable waits until the budget allows a write, and tells how many it allows.
+func (c *Client) writable(ctx context.Context) (int, error) {
+	for {
+		n := c.writes.Tokens()
+		if n >= 1 {
+			return int(n), nil
+		}
+		pause := time.Duration((1 - n) / float64(c.writes.Limit()) * float64(time.Second))
+		select {
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		case <-time.After(min(max(pause, time.Millisecond), time.Second)):
+		}
 	}
 }
 
+// wrote takes writes off the budget.
+func (c *Client) wrote(n int) { c.writes.ReserveN(time.Now(), n) }
+
 func (c *Client) pace(ctx context.Context, urgent bool) error {
 	if urgent && c.urgent.Allow() {
 		return nil
@@ -175,14 +213,12 @@
 	return news, nil
 }
 
-// Txn runs one transaction. On ErrGuard the result names the failed keys.
+// Txn runs one transaction; its caller keeps to the budget of writes. On
+// ErrGuard the result names the failed keys.
 func (c *Client) Txn(ctx context.Context, t wire.Txn, urgent bool) (wire.TxnResult, error) {
 	if err := c.pace(ctx, urgent); err != nil {
 		return wire.TxnResult{}, err
 	}
-	if err := c.writes.WaitN(ctx, len(t.Apply)); err != nil {
-		return wire.TxnResult{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
-	}
 	var res wire.TxnResult
 	status, body, err := c.call(ctx, http.MethodPost, "/multi", t, &res, tuning.StateTimeout)
 	switch {
--- a/internal/store/commit.go
+++ b/internal/store/commit.go
@@ -15,7 +15,21 @@
 type Item struct {
 	Guards []wire.Guard
 	Ops    []wire.Op
+	// Urgent items (sessions, ownership, acceptance, cancellation) go first,
+	// Lazy ones, which nothing waits for, last.
 	Urgent bool
+	Lazy   bool
+}
+
+// class orders items: lower goes first.
+func (it *Item) class() int {
+	switch {
+	case it.Urgent:
+		return 0
+	case it.Lazy:
+		return 2
+	}
+	return 1
 }
 
 func (it *Item) size() int {
@@ -51,6 +65,7 @@
 	client *Client
 	after  func(ops []wire.Op, rev uint64)
 
+	gate  chan struct{} // held by the lane that waits for the budget
 	mu    sync.Mutex
 	queue []*pending
 	wake  chan struct{}
@@ -59,7 +74,7 @@
 // NewCommitter makes a committer; after is called with what was applied before
 // the items' callers learn of it.
 func NewCommitter(c *Client, after func([]wire.Op, uint64)) *Committer {
-	return &Committer{client: c, after: after, wake: make(chan struct{}, 1)}
+	return &Committer{client: c, after: after, wake: make(chan struct{}, 1), gate: make(chan struct{}, 1)}
 }
 
 // Run sends transactions until ctx ends.
@@ -81,15 +96,11 @@
 		c.mu.Unlock()
 		return 0, ErrUnavailable
 	}
-	if it.Urgent {
-		i := slices.IndexFunc(c.queue, func(q *pending) bool { return !q.Urgent })
-		if i < 0 {
-			i = len(c.queue)
-		}
-		c.queue = slices.Insert(c.queue, i, p)
-	} else {
-		c.queue = append(c.queue, p)
+	i := slices.IndexFunc(c.queue, func(q *pending) bool { return q.class() > p.class() })
+	if i < 0 {
+		i = len(c.queue)
 	}
+	c.queue = slices.Insert(c.queue, i, p)
 	c.mu.Unlock()
 	c.poke()
 	select {
@@ -130,7 +141,7 @@
 		case <-c.wake:
 		}
 		for {
-			batch := c.take()
+			batch := c.next(ctx)
 			if len(batch) == 0 {
 				break
 			}
@@ -140,20 +151,46 @@
 	}
 }
 
-// take removes a batch from the queue that fits one transaction and touches no
-// key twice.
-func (c *Committer) take() []*pending {
+// next takes the next batch once the budget allows to write it. What is urgent
+// must not wait behind transactions that were put together before it came, so
+// only one lane at a time waits for the budget.
+func (c *Committer) next(ctx context.Context) []*pending {
+	c.gate <- struct{}{}
+	defer func() { <-c.gate }()
+	c.mu.Lock()
+	none := len(c.queue) == 0
+	c.mu.Unlock()
+	if none {
+		return nil
+	}
+	most, err := c.client.writable(ctx)
+	if err != nil {
+		return nil
+	}
+	batch := c.take(most)
+	n := 0
+	for _, p := range batch {
+		n += len(p.Ops)
+	}
+	c.client.wrote(n)
+	return batch
+}
+
+// take removes a batch from the queue that fits one transaction, writes no more
+// than the budget allows (but one item at least) and touches no key twice.
+func (c *Committer) take(most int) []*pending {
+	most = min(most, c.client.limits.TxnOps)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var batch, rest []*pending
 	guards, keys := map[string]uint64{}, map[string]bool{}
 	ops, bytes := 0, 0
 	for i, p := range c.queue {
-		if len(batch) > 0 && ops >= c.client.limits.TxnOps {
+		if len(batch) > 0 && ops >= most {
 			rest = append(rest, c.queue[i:]...)
 			break
 		}
-		fits := len(batch) == 0 || ops+len(p.Ops) <= c.client.limits.TxnOps &&
+		fits := len(batch) == 0 || ops+len(p.Ops) <= most &&
 			len(guards)+len(p.Guards) <= c.client.limits.TxnOps*tuning.GuardsPerOp &&
 			bytes+p.size() <= tuning.TxnBytes
 		for _, g := range p.Guards {
@@ -189,7 +226,7 @@
 // send commits a batch. A failed guard fails only the items that named it; the
 // others are sent again without them.
 func (c *Committer) send(ctx context.Context, batch []*pending) {
-	for len(batch) > 0 {
+	for again := false; len(batch) > 0; again = true {
 		batch = slices.DeleteFunc(batch, func(p *pending) bool {
 			if p.ctx.Err() == nil {
 				return false
@@ -215,6 +252,9 @@
 		if txn.Guards == nil {
 			txn.Guards = []wire.Guard{}
 		}
+		if again {
+			c.client.wrote(len(txn.Apply)) // the first try was taken off the budget before
+		}
 		res, err := c.client.Txn(ctx, txn, urgent)
 		switch {
 		case err == nil:
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -9,6 +9,9 @@
 	// StateShare is the fraction of the state service's limits that all nodes
 	// together plan to use; the rest covers bursts and clock drift.
 	StateShare = 0.92
+	// EvenShare of that is spread evenly over the live nodes, for users and
+	// sessions; the rest goes by the parts that each owns.
+	EvenShare = 0.35
 	// UrgentShare is the extra fraction of a node's budget that only urgent
 	// requests (sessions, ownership, cancellations) may use.
 	UrgentShare = 0.15
@@ -113,8 +116,11 @@
 	// OrdersMax bounds the commands of one answer: a command takes up to 100 bytes
 	// as JSON, and a body 64 KiB.
 	OrdersMax = 400
-	// OrderLanes is how many direct commands a node has in flight.
-	OrderLanes = 32
+	// OrderLanes is how many direct commands a node has in flight. A machine that
+	// hangs holds one for OrderTimeout; tens of them must not hold up the others.
+	OrderLanes = 96
+	// KickQueue bounds the machines that wait for a lane.
+	KickQueue = 4096
 	// StrayAfter is how long a task that no record knows may be reported before
 	// it is stopped; reports may be a moment older than records.
 	StrayAfter = 5 * time.Second
@@ -148,6 +154,25 @@
 	PlaceGap = 40 * time.Millisecond
 	// PlaceIdle is the longest.
 	PlaceIdle = 500 * time.Millisecond
+	// PlaceRest is how many times as long as a round took the next one waits at
+	// least, so that rounds take at most a third of the processor.
+	PlaceRest = 2
+	// SweepEvery is the interval at which all machines of a node are looked at;
+	// between sweeps only those of which something new is known.
+	SweepEvery = time.Second
+	// FailedShapes is how many needs without room a round remembers.
+	FailedShapes = 64
+	// PreemptTasks is how many tasks of a job one round frees room for.
+	PreemptTasks = 8
+	// PreemptLook is how many machines are compared for it.
+	PreemptLook = 24
+	// RoundStops bounds the machines on which one round frees room.
+	RoundStops = 16
+	// BootLate is how many nominal boot times a machine may take before others
+	// are rented rather than waiting for it.
+	BootLate = 1.8
+	// BootLateMin is the least such time.
+	BootLateMin = 15 * time.Second
 	// DealHold is how long a task is left to the part it was dealt to before any part may take it.
 	DealHold = 600 * time.Millisecond
 	// RoundTasks bounds the tasks bound in one round.
@@ -182,8 +207,15 @@
 
 // Teams.
 const (
-	// GrantIdle is how long a part keeps a granted share that its tasks do not use.
+	// GrantIdle is how long a part keeps a granted share that its tasks do not
+	// use, once other parts may want it.
 	GrantIdle = 1 * time.Second
+	// GrantLot is how much more than it needs a part is granted, as a share of the
+	// team's limit over the parts: grants follow use in lots, not task by task.
+	GrantLot = 0.25
+	// GrantRest is the share of a limit that is to be left ungranted for parts that
+	// want more; below it parts give back what they do not use.
+	GrantRest = 0.15
 )
 
 // Pool.
@@ -200,6 +232,12 @@
 	StepDeviations = 1.0
 	// RentMax is the most machines one request may ask for.
 	RentMax = 50
+	// RentLanes is how many rental requests are on their way at once.
+	RentLanes = 4
+	// WholeShare is the share of a machine above which a task needs one of its own.
+	WholeShare = 0.5
+	// DemandStale is the age past which the placement's demand is not acted on.
+	DemandStale = 2 * time.Second
 	// RefusedHold is the pause after a type, zone and kind was refused.
 	RefusedHold = 6 * time.Second
 	// BootStuck is how many nominal boot times a machine may take before it is replaced.
@@ -212,6 +250,8 @@
 	CloudTimeout = 5 * time.Second
 	// CloudShare is the fraction of the cloud's rate that all nodes plan to use.
 	CloudShare = 0.85
+	// CloudLead is the leader's share of that; the others share the rest.
+	CloudLead = 0.6
 	// CatalogEvery is the interval at which the catalog is read again.
 	CatalogEvery = 60 * time.Second
 	// ReturnMax is the most machines one return may name.
--- a/internal/wire/users.go
+++ b/internal/wire/users.go
@@ -24,6 +24,9 @@
 	PriorityLow        = "idle"
 )
 
+// Ranks is the number of priorities.
+const Ranks = 4
+
 // Rank orders priorities: 0 is the highest.
 func Rank(priority string) int {
 	switch priority {
--- a/internal/world/records.go
+++ b/internal/world/records.go
@@ -69,6 +69,9 @@
 	Attempt uint64
 	Machine string
 	Session uint64
+	// Charge is one more than the part whose grant the task uses, where that is
+	// not its machine's.
+	Charge int
 }
 
 // TaskRef names a task.
@@ -112,6 +115,7 @@
 	Address string `cbor:"a,omitempty"`
 	AtMs    int64  `cbor:"t"`
 	Up      bool   `cbor:"u,omitempty"`
+	Session uint64 `cbor:"s,omitempty"` // the worker's, where it is not the first
 	Drain   bool   `cbor:"d,omitempty"` // no new tasks; to be returned once idle
 	Gone    bool   `cbor:"g,omitempty"` // being deleted: nothing is placed or renewed
 }
@@ -135,13 +139,15 @@
 	Grants map[string]Amount `cbor:"g"`
 }
 
-// RentalRecord is a rental request, written before it is sent.
+// RentalRecord is a rental request, written before it is sent. Once answered it
+// lists the machines, which need no records of their own until they are up.
 type RentalRecord struct {
-	Type  string `cbor:"h"`
-	Zone  string `cbor:"z"`
-	Spot  bool   `cbor:"o"`
-	Count int    `cbor:"n"`
-	AtMs  int64  `cbor:"t"`
+	Type     string   `cbor:"h"`
+	Zone     string   `cbor:"z"`
+	Spot     bool     `cbor:"o"`
+	Count    int      `cbor:"n"`
+	AtMs     int64    `cbor:"t"`
+	Machines []string `cbor:"m,omitempty"`
 }
 
 // FinalRecord is what remains of a finished job.
@@ -174,6 +180,12 @@
 // Need is what one task of a job takes.
 func Need(s *wire.Spec) Amount { return Amount{s.CPUs, s.GPUs, s.MemoryGB} }
 
+// Yields tells whether a task of a job may be stopped alone for another's sake:
+// a service's user would notice, and a gang stops as a whole or not at all.
+func Yields(s *wire.Spec) bool {
+	return s.Kind == wire.KindArray || s.Kind == wire.KindGang && s.Tasks == 1
+}
+
 // Capacity of a machine type.
 func Capacity(t *wire.MachineType) Amount { return Amount{t.CPUs, t.GPUs, t.MemoryGB} }
 
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -1,8 +1,10 @@
 package world
 
 import (
+	"cmp"
 	"log/slog"
 	"maps"
+	"slices"
 	"strings"
 	"sync"
 
@@ -25,6 +27,8 @@
 	Chunks []Chunk
 	Bound  int
 	Done   int
+	// Where counts the bound tasks by part.
+	Where []int
 }
 
 // Pending is the number of tasks neither bound nor done.
@@ -75,6 +79,10 @@
 	Stamp uint64
 	Bound map[TaskRef]Binding
 	Used  Amount
+	// Yield is what tasks that may be stopped alone take, by rank of priority.
+	Yield [wire.Ranks]Amount
+	// Images counts the bound tasks by image.
+	Images map[string]int
 }
 
 // Part is a part's ownership.
@@ -117,11 +125,17 @@
 	CatStamp uint64
 	// Usage is what bound tasks take, by part and team.
 	Usage []map[string]Amount
+	// ByPart lists the machines of each part by name.
+	ByPart [][]*Machine
+	// Touched names the machines whose record or bindings changed since they
+	// were last taken.
+	touched map[string]struct{}
 	// Orphans are bindings to machines that no record knows.
 	Orphans map[string]map[TaskRef]Binding
 
-	log  *slog.Logger
-	subs []chan struct{}
+	rentalOf map[string]string // of machines that an open rental lists
+	log      *slog.Logger
+	subs     []chan struct{}
 }
 
 // New makes an empty view of a region with so many parts.
@@ -130,6 +144,7 @@
 		Size: size, Jobs: map[string]*Job{}, Machines: map[string]*Machine{}, Parts: map[int]Part{},
 		Nodes: map[string]Node{}, Quotas: map[string]Quota{}, Rentals: map[string]Rental{},
 		Types: map[string]wire.MachineType{}, Orphans: map[string]map[TaskRef]Binding{}, log: log,
+		touched: map[string]struct{}{}, rentalOf: map[string]string{}, ByPart: make([][]*Machine, size),
 	}
 	for range size {
 		w.Usage = append(w.Usage, map[string]Amount{})
@@ -201,7 +216,7 @@
 		}
 	case strings.HasPrefix(key, rentKeys):
 		if rec, ok := decode[RentalRecord](w, key, v); ok {
-			w.Rentals[strings.TrimPrefix(key, rentKeys)] = Rental{rec, stamp}
+			w.putRental(strings.TrimPrefix(key, rentKeys), rec, stamp)
 		}
 	case key == CatalogKey:
 		if rec, ok := decode[wire.Catalog](w, key, v); ok {
@@ -235,7 +250,7 @@
 	case strings.HasPrefix(key, quotaKeys):
 		delete(w.Quotas, strings.TrimPrefix(key, quotaKeys))
 	case strings.HasPrefix(key, rentKeys):
-		delete(w.Rentals, strings.TrimPrefix(key, rentKeys))
+		w.dropRental(strings.TrimPrefix(key, rentKeys))
 	}
 }
 
@@ -269,6 +284,13 @@
 	tasks := rec.Tasks
 	rec.Tasks = nil
 	first := !j.Known
+	if rec.CancelMs != j.CancelMs || rec.Yield != j.Yield {
+		j.Each(func(t Task) {
+			if t.State == Bound {
+				w.touched[t.Machine] = struct{}{}
+			}
+		})
+	}
 	j.JobRecord, j.Stamp, j.Known = rec, stamp, true
 	if first {
 		// Chunks seen earlier were sized without the job's task count.
@@ -291,11 +313,12 @@
 		c.Tasks, c.Stamp = tasks, stamp
 		return
 	}
-	for _, t := range c.Tasks {
-		w.index(j, t, -1)
-	}
+	old := c.Tasks
 	c.Stamp, c.Tasks = stamp, nil
 	if len(tasks) == 0 {
+		for _, t := range old {
+			w.index(j, t, -1)
+		}
 		return
 	}
 	base := k * tuning.ChunkTasks
@@ -309,11 +332,19 @@
 		}
 	}
 	c.idle = 0
-	for _, t := range c.Tasks {
-		w.index(j, t, 1)
+	// Only what differs is taken out of the indexes and put in again: a record
+	// of many tasks is written again for each of them.
+	for i, t := range c.Tasks {
 		if t.State == Idle {
 			c.idle++
 		}
+		if i < len(old) {
+			if old[i] == t {
+				continue
+			}
+			w.index(j, old[i], -1)
+		}
+		w.index(j, t, 1)
 	}
 }
 
@@ -325,13 +356,22 @@
 		j.Bound += n
 		ref := TaskRef{j.Spec.ID, t.Index}
 		need := Need(&j.Spec)
-		usage := w.Usage[PartOf(t.Machine, w.Size)]
+		part := PartOf(t.Machine, w.Size)
+		usage := w.Usage[part]
+		if t.Charge > 0 && t.Charge <= w.Size {
+			usage = w.Usage[t.Charge-1]
+		}
 		usage[j.Spec.Team] = usage[j.Spec.Team].Plus(need, float64(n))
+		if j.Where == nil {
+			j.Where = make([]int, w.Size)
+		}
+		j.Where[part] += n
+		w.touched[t.Machine] = struct{}{}
 		m := w.Machines[t.Machine]
 		var set map[TaskRef]Binding
 		if m != nil {
 			set = m.Bound
-			m.Used = m.Used.Plus(need, float64(n))
+			m.use(&j.Spec, n)
 		} else if set = w.Orphans[t.Machine]; set == nil {
 			set = map[TaskRef]Binding{}
 			w.Orphans[t.Machine] = set
@@ -345,7 +385,7 @@
 			}
 		}
 		if len(set) == 0 && m != nil {
-			m.Used = Amount{} // no rounding is carried along
+			m.Used, m.Yield = Amount{}, [wire.Ranks]Amount{} // no rounding is carried along
 		}
 	}
 }
@@ -386,20 +426,46 @@
 	delete(w.Jobs, id)
 }
 
-func (w *World) putMachine(name string, rec MachineRecord, stamp uint64) {
+// use counts what n tasks of a job take.
+func (m *Machine) use(s *wire.Spec, n int) {
+	need := Need(s)
+	m.Used = m.Used.Plus(need, float64(n))
+	if Yields(s) {
+		rank := wire.Rank(s.Priority)
+		m.Yield[rank] = m.Yield[rank].Plus(need, float64(n))
+	}
+	if m.Images[s.Image] += n; m.Images[s.Image] <= 0 {
+		delete(m.Images, s.Image)
+	}
+}
+
+// machine gives a machine's entry, made if it is not there.
+func (w *World) machine(name string) *Machine {
 	m := w.Machines[name]
-	if m == nil {
-		m = &Machine{Name: name, Part: PartOf(name, w.Size), Bound: map[TaskRef]Binding{}}
-		w.Machines[name] = m
-		if set := w.Orphans[name]; set != nil {
-			m.Bound = set
-			for _, b := range set {
-				m.Used = m.Used.Plus(Need(&b.Job.Spec), 1)
-			}
-			delete(w.Orphans, name)
+	if m != nil {
+		return m
+	}
+	m = &Machine{Name: name, Part: PartOf(name, w.Size), Bound: map[TaskRef]Binding{}, Images: map[string]int{}}
+	w.Machines[name] = m
+	list := w.ByPart[m.Part]
+	at, _ := slices.BinarySearchFunc(list, name, byName)
+	w.ByPart[m.Part] = slices.Insert(list, at, m)
+	if set := w.Orphans[name]; set != nil {
+		m.Bound = set
+		for _, b := range set {
+			m.use(&b.Job.Spec, 1)
 		}
+		delete(w.Orphans, name)
 	}
+	return m
+}
+
+func byName(m *Machine, name string) int { return cmp.Compare(m.Name, name) }
+
+func (w *World) putMachine(name string, rec MachineRecord, stamp uint64) {
+	m := w.machine(name)
 	m.MachineRecord, m.Stamp = rec, stamp
+	w.touched[name] = struct{}{}
 }
 
 func (w *World) dropMachine(name string) {
@@ -407,12 +473,71 @@
 	if m == nil {
 		return
 	}
+	w.touched[name] = struct{}{}
+	if rental, ok := w.Rentals[w.rentalOf[name]]; ok {
+		// Its rental still lists it: it counts as not yet up.
+		m.MachineRecord, m.Stamp = rental.machine(), 0
+		return
+	}
+	w.removeMachine(name, m)
+}
+
+func (w *World) removeMachine(name string, m *Machine) {
 	delete(w.Machines, name)
+	list := w.ByPart[m.Part]
+	if at, ok := slices.BinarySearchFunc(list, name, byName); ok {
+		w.ByPart[m.Part] = slices.Delete(list, at, at+1)
+	}
 	if len(m.Bound) > 0 {
 		w.Orphans[name] = maps.Clone(m.Bound)
 	}
 }
 
+// machine is what a rental tells of its machines until they have records of
+// their own: a fleet's worth of machines is recorded by its few rentals.
+func (r *RentalRecord) machine() MachineRecord {
+	return MachineRecord{Type: r.Type, Zone: r.Zone, Spot: r.Spot, AtMs: r.AtMs}
+}
+
+func (w *World) putRental(name string, rec RentalRecord, stamp uint64) {
+	if old, ok := w.Rentals[name]; ok && len(old.Machines) > 0 {
+		w.dropRental(name)
+	}
+	w.Rentals[name] = Rental{rec, stamp}
+	for _, n := range rec.Machines {
+		w.rentalOf[n] = name
+		if w.Machines[n] == nil {
+			w.machine(n).MachineRecord = rec.machine()
+			w.touched[n] = struct{}{}
+		}
+	}
+}
+
+func (w *World) dropRental(name string) {
+	r := w.Rentals[name]
+	delete(w.Rentals, name)
+	for _, n := range r.Machines {
+		delete(w.rentalOf, n)
+		if m := w.Machines[n]; m != nil && m.Stamp == 0 {
+			w.removeMachine(n, m)
+		}
+	}
+}
+
+// Rented tells whether an open rental lists a machine: its own record must
+// stay until the rental is dropped, or it would count as coming up again.
+func (w *World) Rented(name string) bool { return w.rentalOf[name] != "" }
+
+// Touched takes the names of the machines whose record or bindings changed
+// since the last call, which one caller makes.
+func (w *World) Touched() map[string]struct{} {
+	w.Lock()
+	defer w.Unlock()
+	out := w.touched
+	w.touched = map[string]struct{}{}
+	return out
+}
+
 // Encode gives the record of the chunk that holds task i, with changes.
 func (j *Job) Encode(k int, change map[int]Task) (string, wire.Raw) {
 	var tasks []Task
