--- a/cmd/sableusher/serve.go
+++ b/cmd/sableusher/serve.go
@@ -42,6 +42,7 @@
 	log := logger().With("node", set.Node)
 	d := &set.Deployment
 	runtime.GOMAXPROCS(max(1, int(d.Limits.CPUShare+0.5)))
+	debug.SetGCPercent(tuning.GCPercent)
 	debug.SetMemoryLimit(int64(d.Limits.MemMB * tuning.MemoryShare * (1 << 20)))
 
 	controller, err := node.New(set, op, rand.Uint64N(1<<52)+1, nil,
--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -48,13 +48,17 @@
 	gone    map[string]bool      // machines whose deletion the cloud has confirmed
 	deaths  []time.Time
 	fenced  map[int]time.Time
-	demand  Demand
-	values  values
-	reader  Reader
-	peers   Peers
-	asked   time.Time
-	vetoes  map[string]veto // silent machines, by what the peers said
-	again   chan struct{}
+	// assured holds the jobs within their team's guarantee, as of a time.
+	assured   map[string]bool
+	assuredAt time.Time
+	valued    map[string]valued
+	demand    Demand
+	values    values
+	reader    Reader
+	peers     Peers
+	asked     time.Time
+	vetoes    map[string]veto // silent machines, by what the peers said
+	again     chan struct{}
 }
 
 // Peers asks the other nodes which workers they have heard from.
@@ -68,6 +72,12 @@
 	node string
 }
 
+// valued is a job's value as of a time.
+type valued struct {
+	value float64
+	at    time.Time
+}
+
 // wait is since when a job waits, with so many tasks, for another part's owner.
 type wait struct {
 	since   time.Time
@@ -89,7 +99,7 @@
 func New(set *config.Settings, op *config.Operator, w *world.World, m *member.Member, f *fleet.Fleet, c *store.Committer, reader Reader, peers Peers, log *slog.Logger) *Engine {
 	return &Engine{
 		set: set, op: op, world: w, member: m, fleet: f, commit: c, quota: quota.New(set.Deployment.Teams, w), log: log,
-		busy: map[string]bool{}, moving: map[uint64]*change{}, backoff: map[string]retry{}, waits: map[string]wait{}, look: map[string]struct{}{},
+		busy: map[string]bool{}, moving: map[uint64]*change{}, backoff: map[string]retry{}, waits: map[string]wait{}, look: map[string]struct{}{}, valued: map[string]valued{},
 		forming: map[string]time.Time{}, told: map[string]time.Time{}, held: map[string]reserve{}, owned: map[int]time.Time{}, gone: map[string]bool{},
 		fenced: map[int]time.Time{}, reader: reader, peers: peers, vetoes: map[string]veto{},
 		values: values{
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"sableusher/internal/config"
-	"sableusher/internal/learn"
 	"sableusher/internal/tuning"
 	"sableusher/internal/wire"
 	"sableusher/internal/world"
@@ -46,8 +45,7 @@
 	deadline time.Time
 	assured  bool // within its team's guarantee
 	pressing bool // its deadline can still be met, but not for long
-	choice   learn.Choice
-	scored   bool
+	value    float64
 	home     int // the part it is dealt to
 	left     int // tasks that have no place yet in this round
 }
@@ -55,7 +53,10 @@
 // guarantees finds the jobs that lie within their team's guarantee, together
 // with the team's earlier unfinished jobs.
 func (r *round) guarantees() {
-	r.assured = map[string]bool{}
+	if r.now.Sub(r.assuredAt) < tuning.AssuredEvery {
+		return
+	}
+	r.assuredAt, r.assured = r.now, map[string]bool{}
 	teams := map[string][]*world.Job{}
 	for _, j := range r.world.Jobs {
 		if _, ok := r.quota.Guarantee(j.Spec.Team); ok && j.Known && !j.Cancelled() {
@@ -102,6 +103,7 @@
 // sweep forgets what is kept of jobs that are over.
 func (r *round) sweep() {
 	over := func(id string) bool { return r.world.Jobs[id] == nil }
+	maps.DeleteFunc(r.valued, func(id string, _ valued) bool { return over(id) })
 	maps.DeleteFunc(r.backoff, func(id string, _ retry) bool { return over(id) })
 	maps.DeleteFunc(r.waits, func(id string, _ wait) bool { return over(id) })
 	maps.DeleteFunc(r.told, func(id string, _ time.Time) bool { return over(id) })
@@ -243,6 +245,9 @@
 			du.left = n
 			if spec.Kind == wire.KindGang {
 				du.left = 0
+				if r.now.Sub(time.UnixMilli(j.AtMs)) > tuning.StarveAfter {
+					total[spec.Team] = limit // narrower ones would keep a wide one out for ever
+				}
 			}
 		}
 	}
--- a/internal/place/settle.go
+++ b/internal/place/settle.go
@@ -31,9 +31,7 @@
 	holders map[string]map[string]bool // machines of this node's parts by image
 	blocked bool                       // a task's end could not be written yet
 	gangs   map[gangKey]bool           // whether an attempt is broken, looked at once a round
-	// assured holds the jobs within their team's guarantee.
-	assured map[string]bool
-	seen    *learn.State // what this round chooses in
+	seen    *learn.State               // what this round chooses in
 }
 
 // editKey names one record of a job.
--- a/internal/place/value.go
+++ b/internal/place/value.go
@@ -173,18 +173,20 @@
 	})
 	warm := room && r.op.Learn && len(list) > 0 && r.values.learner.Warm()
 	if warm {
-		s := r.state()
-		r.seen = &s
 		first := list[:min(len(list), tuning.LearnCandidates)]
 		for i := range first {
 			d := &first[i]
-			d.choice = r.values.learner.Score(&s, r.action(d.job))
-			d.scored = true
+			v, ok := r.valued[d.job.Spec.ID]
+			if !ok || r.now.Sub(v.at) > tuning.ValueLife {
+				v = valued{r.score(d.job).Value, r.now}
+				r.valued[d.job.Spec.ID] = v
+			}
+			d.value = v.value
 		}
 		slices.SortStableFunc(first, func(a, b due) int {
 			c := guarded(a, b)
 			if c == 0 && !a.pressing {
-				c = -cmp.Compare(a.choice.Value, b.choice.Value)
+				c = -cmp.Compare(a.value, b.value)
 			}
 			return c
 		})
@@ -219,23 +221,25 @@
 		Interactive: wire.Rank(j.Spec.Priority) <= wire.Rank(wire.PriorityHigh)}
 }
 
+// score values a job in the state of this round.
+func (r *round) score(j *world.Job) learn.Choice {
+	if r.seen == nil {
+		s := r.state()
+		r.seen = &s
+	}
+	return r.values.learner.Score(r.seen, r.action(j))
+}
+
 // took tells the learner of a task that was started. Each is a decision of its
 // own, as the paper's jobs take one processor each; the memory has moved on
-// since the last one, so all but the first are scored anew.
+// since the job was valued, so it is scored anew.
 func (r *round) took(d *due, b bind, n uint64) {
 	if !r.op.Learn {
 		return
 	}
-	if !d.scored {
-		if r.seen == nil {
-			s := r.state()
-			r.seen = &s
-		}
-		d.choice = r.values.learner.Score(r.seen, r.action(d.job))
-	}
-	d.scored = false
-	r.values.open[attempt{b.ref, n}] = r.values.learner.Take(d.choice)
-	r.log.Debug("task chosen", "task", b.ref, "value", d.choice.Value, "pressing", d.pressing)
+	c := r.score(d.job)
+	r.values.open[attempt{b.ref, n}] = r.values.learner.Take(c)
+	r.log.Debug("task chosen", "task", b.ref, "value", c.Value, "pressing", d.pressing)
 }
 
 // SizeState gives what the pool's size is chosen in.
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -151,12 +151,15 @@
 // Placement.
 const (
 	// PlaceGap is the shortest time between two placement rounds.
-	PlaceGap = 40 * time.Millisecond
+	PlaceGap = 80 * time.Millisecond
 	// PlaceIdle is the longest.
 	PlaceIdle = 500 * time.Millisecond
 	// PlaceRest is how many times as long as a round took the next one waits at
-	// least, so that rounds take at most a third of the processor.
-	PlaceRest = 2
+	// least, so that rounds take at most a fifth of the processor.
+	PlaceRest = 4
+	// AssuredEvery is how often it is looked up anew which jobs lie within their
+	// team's guarantee.
+	AssuredEvery = 250 * time.Millisecond
 	// SweepEvery is the interval at which all machines of a node are looked at;
 	// between sweeps only those of which something new is known.
 	SweepEvery = time.Second
@@ -262,6 +265,9 @@
 const (
 	// MemoryShare of the memory limit is given to Go's heap limit; the rest is stacks, code and the C library.
 	MemoryShare = 0.7
+	// GCPercent lets the heap grow to this much above what is live before it is
+	// collected; the live heap is a small part of the memory limit, which still holds.
+	GCPercent = 300
 	// StopGrace is how long orderly cancellation may take.
 	StopGrace = 2 * time.Second
 )
@@ -308,7 +314,10 @@
 	// LearnSave is the interval of saving; the saved form takes about 3 KiB.
 	LearnSave = 30 * time.Second
 	// LearnCandidates bounds the jobs that one round values.
-	LearnCandidates = 64
+	LearnCandidates = 32
+	// ValueLife is how long a job's value orders it before it is asked for again:
+	// the state it is valued in moves on in seconds, rounds come far more often.
+	ValueLife = 500 * time.Millisecond
 	// UtilizationFade is the time over which finished work and paid time fade by half.
 	UtilizationFade = 10 * time.Minute
 	// ServicePayoff is the run time after which a service's start is paid.
