--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -357,6 +357,7 @@
 	Usable  bool // heard lately, under our token, no notice, no refusal
 	Recall  time.Time
 	Doubt   bool // a direct start without an answer is left
+	Mute    bool // a direct question since the last report got no answer
 	Errors  int
 }
 
@@ -369,7 +370,7 @@
 		return State{}
 	}
 	now := time.Now()
-	s := State{Heard: m.heard, Session: m.session, Recall: m.recall, Errors: len(m.errors), Doubt: m.doubt(token)}
+	s := State{Heard: m.heard, Session: m.session, Recall: m.recall, Errors: len(m.errors), Doubt: m.doubt(token), Mute: m.directAt.After(m.heard)}
 	silent := time.Duration(tuning.SilentAfter * float64(f.set.Report()))
 	s.Usable = m.session != 0 && m.token == token && m.recall.IsZero() && now.Sub(m.heard) < silent &&
 		now.Sub(m.refused) > tuning.RefuseHold && len(m.errors) < tuning.MachineErrors
@@ -452,7 +453,8 @@
 func (f *Fleet) HeardOf(machines []string) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	limit := time.Duration(tuning.DeadAfter * float64(f.set.Report()))
+	// A worker that lost its way to one node tries the next after seconds.
+	limit := time.Duration(tuning.ProbeAfter * float64(f.set.Report()))
 	var out []string
 	for _, n := range machines {
 		at := f.bounced[n]
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -371,12 +371,31 @@
 		return best
 	}
 	first := r.first(du.job)
-	for i := range rooms {
-		if p := (first + i) % r.world.Size; rooms[p] >= du.left {
+	if du.rank <= wire.Rank(wire.PriorityHigh) {
+		// Urgent work goes where its image is, as far as all nodes know.
+		held := make([]int, r.world.Size)
+		for _, n := range fit {
+			if n.m.Images[du.job.Spec.Image] > 0 {
+				held[n.m.Part] += fits(du.need, n.free)
+			}
+		}
+		if p, ok := roomy(held, first, du.left); ok {
 			return p
 		}
 	}
-	return first
+	p, _ := roomy(rooms, first, du.left)
+	return p
+}
+
+// roomy gives the first part, from one on, with room for so many tasks; that one
+// if there is none.
+func roomy(rooms []int, first, want int) (int, bool) {
+	for i := range rooms {
+		if p := (first + i) % len(rooms); rooms[p] >= want {
+			return p, true
+		}
+	}
+	return first, false
 }
 
 // first is the first part in a job's own order whose owner lives.
--- a/internal/place/settle.go
+++ b/internal/place/settle.go
@@ -485,6 +485,7 @@
 func (r *round) machinesDue() {
 	deadAfter := time.Duration(tuning.DeadAfter * float64(r.set.Report()))
 	probeAfter := time.Duration(tuning.ProbeAfter * float64(r.set.Report()))
+	askedAfter := min(deadAfter, probeAfter+tuning.OrderTimeout+tuning.SweepEvery)
 	var silent, up int
 	type due struct {
 		m    *world.Machine
@@ -517,11 +518,11 @@
 		case r.now.Sub(last) > probeAfter && r.late(m):
 			// No cap and no vote can keep a cancelled task beyond its time.
 			list = append(list, due{m, "silent with a cancelled task", false})
-		case r.now.Sub(last) > probeAfter && r.now.Sub(last) <= deadAfter:
-			r.fleet.Kick(name)
-		case r.now.Sub(last) > deadAfter:
+		case r.now.Sub(last) > deadAfter || s.Mute && r.now.Sub(last) > askedAfter:
 			silent++
 			list = append(list, due{m, fmt.Sprintf("silent for %v", r.now.Sub(last).Round(time.Second)), true})
+		case r.now.Sub(last) > probeAfter:
+			r.fleet.Kick(name)
 		case len(m.Bound) == 0 && r.moveM[name] == (world.Amount{}) && s.Errors >= tuning.MachineErrors:
 			list = append(list, due{m, "failing", false})
 		}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -127,11 +127,13 @@
 	// SilentAfter is how long a worker may be silent, in report intervals,
 	// before its machine counts as unreachable.
 	SilentAfter = 2.2
-	// DeadAfter is how long a machine may be silent before it is deleted, in report intervals.
-	// It covers two lost reports and the direct question that follows them.
+	// DeadAfter is how long a machine may be silent before it is deleted, in report
+	// intervals, where it could not be asked directly.
 	DeadAfter = 3.0
-	// ProbeAfter is the silence, in report intervals, after which a worker is asked directly.
-	ProbeAfter = 1.6
+	// ProbeAfter is the silence, in report intervals, after which a worker is asked
+	// directly: reports come up to a quarter late. One that does not answer in
+	// OrderTimeout is deleted, unless another node has heard it.
+	ProbeAfter = 1.35
 	// DeadCap is the largest fraction of a node's machines (at least two) that
 	// may be deleted for silence in DeadWindow.
 	DeadCap = 0.15
@@ -253,6 +255,9 @@
 	CloudTimeout = 5 * time.Second
 	// CloudShare is the fraction of the cloud's rate that all nodes plan to use.
 	CloudShare = 0.85
+	// HoldBoots is how many nominal boot times a machine stands idle before it is
+	// returned, where that is longer than the operators' hold: coming back costs a boot.
+	HoldBoots = 0.75
 	// CloudLead is the leader's share of that; the others share the rest.
 	CloudLead = 0.6
 	// CatalogEvery is the interval at which the catalog is read again.
