--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -257,7 +257,7 @@
 	CloudShare = 0.85
 	// HoldBoots is how many nominal boot times a machine stands idle before it is
 	// returned, where that is longer than the operators' hold: coming back costs a boot.
-	HoldBoots = 0.75
+	HoldBoots = 0.0
 	// CloudLead is the leader's share of that; the others share the rest.
 	CloudLead = 0.6
 	// CatalogEvery is the interval at which the catalog is read again.
