A new owner spares running machines; tests of placement's costs and of gangs placed whole

Now a new owner waits until a worker must have found it, lazy writes get a turn, parts take turns at a job dealt elsewhere, arrays are bound in batches while the budget is the bottleneck.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -41,7 +41,7 @@
 // New makes the fleet; fresh tells as of when the view is complete.
 func New(set *config.Settings, w *world.World, mem *member.Member, fresh func() time.Time, log *slog.Logger, rt http.RoundTripper) *Fleet {
 	if rt == nil {
-		rt = wire.Transport(tuning.OrderTimeout, 1)
+		rt = wire.Transport(tuning.OrderTimeout, 1, max(1, int(tuning.OrderSockets*float64(set.Deployment.Limits.MaxSockets))))
 	}
 	return &Fleet{
 		set: set, world: w, member: mem, fresh: fresh, log: log,
--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -48,6 +48,7 @@
 	gone    map[string]bool      // machines whose deletion the cloud has confirmed
 	deaths  []time.Time
 	fenced  map[int]time.Time
+	given   time.Time // when arrays were last given room
 	// assured holds the jobs within their team's guarantee, as of a time.
 	assured   map[string]bool
 	assuredAt time.Time
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -46,8 +46,9 @@
 	assured  bool // within its team's guarantee
 	pressing bool // its deadline can still be met, but not for long
 	value    float64
-	home     int // the part it is dealt to
-	left     int // tasks that have no place yet in this round
+	home     int  // the part it is dealt to
+	left     int  // tasks that have no place yet in this round
+	later    bool // nothing of it is bound in this round
 }
 
 // guarantees finds the jobs that lie within their team's guarantee, together
@@ -198,6 +199,12 @@
 // wherever room is left.
 func (r *round) place() {
 	s := r.newStock()
+	r.stock = s
+	if r.commit.Waiting() < tuning.PressedItems || r.now.Sub(r.given) > tuning.PressedGap {
+		r.given = r.now
+	} else {
+		r.pressed = true
+	}
 	queue := r.queue(s.room())
 	s.narrow(queue)
 	d := Demand{At: r.now}
@@ -236,6 +243,7 @@
 func (r *round) deal(du *due, s *stock, total map[string]world.Amount) {
 	j, spec := du.job, &du.job.Spec
 	du.left = max(0, j.Pending()-r.moveJ[spec.ID])
+	du.later = r.pressed && du.rank > wire.Rank(wire.PriorityHigh)
 	if limit, ok := r.quota.Limit(spec.Team); ok {
 		open := limit.Plus(total[spec.Team], -1)
 		open.Mem = tuning.MaxAmount * tuning.MaxTasks
@@ -419,7 +427,10 @@
 	}
 	w.seen = r.now
 	r.waits[id] = w
-	return r.now.Sub(w.since) > tuning.DealHold
+	// The parts take turns: at once, all but one would fail for the record's guard.
+	turn := int(r.now.UnixMilli()/tuning.DealHold.Milliseconds()) + r.first(du.job)
+	_, mine := r.tokens[turn%r.world.Size]
+	return mine && r.now.Sub(w.since) > tuning.DealHold
 }
 
 // choose takes room for a job's tasks on machines, the preferred ones first:
@@ -479,6 +490,9 @@
 func (r *round) bindTasks(du *due, chunk int, picks []*node) {
 	j, spec := du.job, &du.job.Spec
 	picks = slices.DeleteFunc(picks, func(n *node) bool { return !n.mine })
+	if du.later {
+		return
+	}
 	looked, end := 0, spec.Tasks
 	if spec.Spread {
 		end = min(end, (chunk+1)*tuning.ChunkTasks)
@@ -575,9 +589,10 @@
 	z := r.zones(j, 0)
 	fit := s.fitting(spec, du.need, true)
 	inPart := func(n *node) bool { return n.m.Part == du.home }
+	certain := func(n *node) bool { return n.mine || n.m.Up } // its worker's session is known
 	picks := r.chooseZone(du, fit, z, inPart)
 	if picks == nil {
-		picks = r.chooseZone(du, fit, z, nil)
+		picks = r.chooseZone(du, fit, z, certain)
 	}
 	if picks == nil {
 		r.waiting(j, "no room for all its tasks", nil)
--- /dev/null
+++ b/internal/place/place_test.go
@@ -0,0 +1,301 @@
+package place
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sableusher/internal/config"
+	"sableusher/internal/fleet"
+	"sableusher/internal/member"
+	"sableusher/internal/store"
+	"sableusher/internal/wire"
+	"sableusher/internal/world"
+)
+
+const testParts = 5
+
+var (
+	testZones = []string{"east", "west", "north"}
+	testType  = wire.MachineType{Name: "m", CPUs: 32, GPUs: 4, MemoryGB: 256, CacheGB: 50, BootS: 30, Zones: testZones}
+	testNow   = time.Now()
+)
+
+// field is a view of a region that several nodes share, each with an engine.
+type field struct {
+	world   *world.World
+	engines []*Engine
+	fleets  []*fleet.Fleet
+	rev     uint64
+}
+
+func newField(tb testing.TB) *field {
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	f := &field{world: world.New(testParts, log)}
+	op, err := config.LoadOperator("")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	var nodes []string
+	for i := range testParts {
+		nodes = append(nodes, fmt.Sprintf("node-%d", i))
+	}
+	f.put("s/catalog", wire.Catalog{Types: []wire.MachineType{testType}})
+	for i, n := range nodes {
+		f.world.Nodes[n] = world.Node{NodeRecord: world.NodeRecord{Inc: 1}}
+		f.world.Parts[i] = world.Part{PartRecord: world.PartRecord{Owner: n, Inc: 1, Token: 7}}
+	}
+	f.world.Parts[world.Leader] = world.Part{PartRecord: world.PartRecord{Owner: nodes[0], Inc: 1, Token: 7}}
+	for _, n := range nodes {
+		set := &config.Settings{Node: n}
+		d := &set.Deployment
+		d.Size = testParts
+		d.Teams = []config.Team{{Name: "t"}}
+		d.Workers.ReportS, d.Workers.LeaseS, d.Workers.CancelS = 8, 45, 65
+		d.State.TxnOps = 32
+		client := store.NewClient("127.0.0.1:1", store.Limits{RPS: 1, WriteRPS: 1, TxnOps: 32}, nil)
+		commit := store.NewCommitter(client, func([]wire.Op, uint64) {})
+		cache := store.NewCache(client, world.Root, f.world, log)
+		m := member.New(n, 1, nodes, client, commit, cache, f.world, log)
+		fl := fleet.New(set, f.world, m, func() time.Time { return testNow }, log, nil)
+		f.fleets = append(f.fleets, fl)
+		e := New(set, op, f.world, m, fl, commit, client, nil, log)
+		e.ctx = context.Background()
+		f.engines = append(f.engines, e)
+	}
+	return f
+}
+
+func (f *field) put(key string, v any) {
+	f.rev++
+	f.world.Begin()
+	f.world.Put(key, wire.MustEncode(v), f.rev)
+	f.world.Flush()
+}
+
+// machine adds a machine that is up and has reported to its part's owner.
+func (f *field) machine(i int, spot bool) string {
+	name := fmt.Sprintf("vm-%06d", i)
+	rec := world.MachineRecord{Type: "m", Zone: testZones[i%len(testZones)], Spot: spot, Address: "10.1.0.1:9000", AtMs: 1, Up: true}
+	f.put(world.MachineKey(name), rec)
+	f.fleets[world.PartOf(name, testParts)].Beat(&wire.Report{Machine: name, Address: rec.Address, Type: "m", Zone: rec.Zone, Spot: spot, Session: 1, Seq: 1, Token: 7})
+	return name
+}
+
+func (f *field) job(s wire.Spec, tasks ...world.Task) {
+	s.Team, s.Class = "t", "c"
+	f.put(world.JobKey(s.ID), world.JobRecord{Spec: s, AtMs: testNow.UnixMilli(), Tasks: tasks})
+}
+
+// round plays one node's placement and gives what it bound.
+func (f *field) round(i int) (*round, []bind) {
+	f.world.RLock()
+	defer f.world.RUnlock()
+	r := f.engines[i].newRound(testNow)
+	r.place()
+	r.flush()
+	var out []bind
+	for _, c := range r.out {
+		out = append(out, c.binds...)
+	}
+	return r, out
+}
+
+func array(id, tasks int) wire.Spec {
+	return wire.Spec{ID: fmt.Sprintf("run-%d", id), Kind: wire.KindArray, Priority: wire.PriorityNormal, Tasks: tasks, CPUs: 6, GPUs: 1, MemoryGB: 48, Spot: true, Image: "i"}
+}
+
+func gang(id, tasks int) wire.Spec {
+	return wire.Spec{ID: fmt.Sprintf("run-%d", id), Kind: wire.KindGang, Priority: wire.PriorityHigh, Tasks: tasks, CPUs: 28, GPUs: 4, MemoryGB: 200, OneZone: true, Image: "g"}
+}
+
+// TestLongQueueBehindFullFleet: hundreds of jobs of different shapes behind a
+// fleet without room must not each be held against each machine.
+func TestLongQueueBehindFullFleet(t *testing.T) {
+	f := newField(t)
+	const machines, jobs = 1500, 500
+	var tasks []world.Task
+	for i := range machines {
+		name := f.machine(i, false)
+		tasks = append(tasks, world.Task{Index: i % 100, State: world.Bound, Attempt: 1, Machine: name, Session: 1})
+		if len(tasks) == 100 {
+			s := gang(100000+i, 100)
+			s.OneZone = false
+			f.job(s, tasks...)
+			tasks = nil
+		}
+	}
+	for i := range jobs {
+		s := array(i, 40)
+		s.CPUs += float64(i%7) / 10
+		f.job(s)
+	}
+	r, bound := f.round(0)
+	if len(bound) != 0 {
+		t.Fatalf("%d tasks bound without room", len(bound))
+	}
+	if r.stock.looks > 2*machines {
+		t.Errorf("%d machines examined for %d jobs on %d machines", r.stock.looks, jobs, machines)
+	}
+	if n := len(r.demand.Groups); n != jobs {
+		t.Errorf("demand names %d of %d jobs", n, jobs)
+	}
+}
+
+// TestJobIsDealtToOnePart: with room everywhere, one node binds all of an
+// array's tasks, in its own part and in one change; the others leave it alone.
+// Several writers of one record fail each other's guards and use up the state
+// service's budget.
+func TestJobIsDealtToOnePart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newField(nil)
+		for i := range rapid.IntRange(60, 120).Draw(t, "machines") {
+			f.machine(i, i%2 == 0)
+		}
+		n := rapid.IntRange(1, 20).Draw(t, "tasks")
+		f.job(array(rapid.IntRange(1, 1000).Draw(t, "id"), n))
+		writers, total := 0, 0
+		for i := range testParts {
+			r, bound := f.round(i)
+			if len(bound) > 0 {
+				writers++
+				if len(r.out) != 1 {
+					t.Errorf("%d changes", len(r.out))
+				}
+			}
+			for _, b := range bound {
+				if world.PartOf(b.machine, testParts) != i {
+					t.Errorf("node %d binds %s", i, b.machine)
+				}
+			}
+			total += len(bound)
+		}
+		if writers != 1 || total != n {
+			t.Errorf("%d nodes bound %d of %d tasks", writers, total, n)
+		}
+	})
+}
+
+// TestGangIsPlacedWhole: one node binds all tasks of a gang in one change, in
+// one zone, on machines with room for them, guarded by every part concerned; or
+// none binds any.
+func TestGangIsPlacedWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newField(nil)
+		free := map[string]int{}
+		zone := map[string]string{}
+		for i := range rapid.IntRange(1, 90).Draw(t, "machines") {
+			name := f.machine(i, false)
+			zone[name] = testZones[i%len(testZones)]
+			if rapid.IntRange(0, 2).Draw(t, "used") == 0 {
+				s := array(5000+i, 1)
+				f.job(s, world.Task{State: world.Bound, Attempt: 1, Machine: name, Session: 1})
+			} else {
+				free[zone[name]]++
+			}
+		}
+		n := rapid.SampledFrom([]int{1, 2, 4, 8, 16, 32}).Draw(t, "tasks")
+		f.job(gang(1, n))
+		fits := false
+		for _, c := range free {
+			fits = fits || c >= n
+		}
+		total := 0
+		for i := range testParts {
+			r, bound := f.round(i)
+			if len(bound) == 0 {
+				continue
+			}
+			total += len(bound)
+			seen := map[string]bool{}
+			guards := map[string]bool{}
+			for _, g := range r.out[0].item.Guards {
+				guards[g.Key] = true
+			}
+			for _, b := range bound {
+				if seen[b.machine] || zone[b.machine] != zone[bound[0].machine] {
+					t.Errorf("%s twice or in another zone", b.machine)
+				}
+				seen[b.machine] = true
+				if !guards[world.PartKey(world.PartOf(b.machine, testParts))] || !guards[world.PartKey(b.part)] {
+					t.Errorf("no guard for the parts of %v: %v", b, guards)
+				}
+				if b.part != i {
+					t.Errorf("node %d charges part %d", i, b.part)
+				}
+			}
+		}
+		if want := map[bool]int{true: n}[fits]; total != want {
+			t.Errorf("%d tasks bound, want %d", total, want)
+		}
+	})
+}
+
+// TestSettledMachinesAreLeftAlone: a round looks only at machines of which
+// something new is known.
+func TestSettledMachinesAreLeftAlone(t *testing.T) {
+	f := newField(t)
+	for i := range 50 {
+		f.machine(i, false)
+	}
+	e := f.engines[0]
+	e.look = f.world.Touched()
+	f.world.RLock()
+	r := e.newRound(testNow)
+	r.settle()
+	f.world.RUnlock()
+	if len(e.look) != 0 || len(r.out) != 0 {
+		t.Errorf("%d machines are still looked at, %d changes", len(e.look), len(r.out))
+	}
+}
+
+// TestNewOwnerSparesRunningMachines: whether a machine came up may not stand in
+// its record yet when its part changes owner; the new owner must give its worker
+// time to report before it deletes what "never came up". It once deleted
+// hundreds of running machines after two controllers had ended.
+func TestNewOwnerSparesRunningMachines(t *testing.T) {
+	f := newField(t)
+	for i := range 40 {
+		f.put(world.MachineKey(fmt.Sprintf("vm-%06d", i)), world.MachineRecord{Type: "m", Zone: "east", AtMs: 1})
+	}
+	for _, owned := range []time.Duration{time.Second, time.Hour} {
+		deleted := 0
+		for _, e := range f.engines {
+			f.world.RLock()
+			r := e.newRound(testNow)
+			for p := range r.tokens {
+				e.owned[p] = testNow.Add(-owned)
+			}
+			r.machinesDue()
+			f.world.RUnlock()
+			deleted += len(r.out)
+		}
+		if want := map[time.Duration]int{time.Hour: 40}[owned]; deleted != want {
+			t.Errorf("owned for %v: %d machines deleted, want %d", owned, deleted, want)
+		}
+	}
+}
+
+// BenchmarkRound is one round of a large region with some room and a queue.
+func BenchmarkRound(b *testing.B) {
+	f := newField(b)
+	for i := range 1500 {
+		name := f.machine(i, i%2 == 0)
+		if i%5 != 0 {
+			s := gang(100000+i, 1)
+			f.job(s, world.Task{State: world.Bound, Attempt: 1, Machine: name, Session: 1})
+		}
+	}
+	for i := range 200 {
+		f.job(array(i, 40))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		f.round(0)
+	}
+}
--- a/internal/place/settle.go
+++ b/internal/place/settle.go
@@ -27,6 +27,8 @@
 	moveJ   map[string]int // tasks on their way, by job
 	live    []bool         // parts whose owner lives
 	bound   int
+	stock   *stock
+	pressed bool                       // the state service's budget is the bottleneck
 	stops   int                        // machines on which room is being freed in this round
 	holders map[string]map[string]bool // machines of this node's parts by image
 	blocked bool                       // a task's end could not be written yet
@@ -512,7 +514,10 @@
 		stuck := max(time.Duration(tuning.BootStuck*typ.BootS*float64(time.Second)), tuning.BootStuckMin)
 		switch {
 		case !m.Up && s.Heard.IsZero():
-			if age > stuck && typ.Name != "" {
+			// A new owner has heard of none of its machines yet, and the record of one
+			// that has long been up may not say so.
+			found := tuning.FindNode + time.Duration(tuning.DeadAfter*float64(r.set.Report()))
+			if age > stuck && typ.Name != "" && r.now.Sub(r.owned[m.Part]) > found {
 				list = append(list, due{m, "never came up", false})
 			}
 		case r.now.Sub(last) > probeAfter && r.late(m):
--- a/internal/place/stock.go
+++ b/internal/place/stock.go
@@ -71,7 +71,7 @@
 			if len(held) > 0 {
 				n.kept = held[m.Name].ref.Job
 			}
-			ready := m.Up && r.live[part]
+			ready := r.live[part] && (m.Up || r.likely(m))
 			if mine {
 				ready = r.fleet.Look(m.Name, token).Usable
 			}
@@ -94,6 +94,12 @@
 	return r.now.Sub(time.UnixMilli(m.AtMs)) > max(late, tuning.BootLateMin)
 }
 
+// likely tells whether a machine should be up by now.
+func (r *round) likely(m *world.Machine) bool {
+	boot := tuning.BootLikely * r.world.Types[m.Type].BootS * float64(time.Second)
+	return m.AtMs > 0 && r.now.Sub(time.UnixMilli(m.AtMs)) > time.Duration(boot) && !r.overdue(m)
+}
+
 // room tells whether any machine that is up has room at all.
 func (s *stock) room() bool {
 	return slices.ContainsFunc(s.ready, func(n *node) bool { return share(n.free, n.capacity) > 0 })
--- a/internal/pool/cloud.go
+++ b/internal/pool/cloud.go
@@ -38,7 +38,7 @@
 // NewCloud makes a client of the cloud at addr; all nodes together keep to rps.
 func NewCloud(addr string, rps float64, nodes int, rt http.RoundTripper) *Cloud {
 	if rt == nil {
-		rt = wire.Transport(tuning.CloudTimeout, tuning.IdleConns)
+		rt = wire.Transport(tuning.CloudTimeout, tuning.IdleConns, tuning.IdleConns)
 	}
 	c := &Cloud{base: "http://" + addr, http: &http.Client{Transport: rt}, lead: rps * tuning.CloudShare}
 	if nodes > 1 {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -572,7 +572,7 @@
 		if total <= p.op.PoolMin {
 			break
 		}
-		if m == nil || !m.Up || m.Drain || wanted[kind{m.Type, m.Zone, m.Spot}] || left[m.Spot] < 1 || now.Sub(p.idle[n]) < p.hold(m.Type) {
+		if m == nil || !m.Up || m.Drain || wanted[kind{m.Type, m.Zone, m.Spot}] || left[m.Spot] < 1 || now.Sub(p.idle[n]) < config.Seconds(p.op.PoolHoldS) {
 			continue
 		}
 		rec := m.MachineRecord
@@ -588,11 +588,6 @@
 	p.doAll(ctx, items, "machine not drained")
 }
 
-// hold is how long a machine may stand idle. Callers hold the world's lock.
-func (p *Pool) hold(typ string) time.Duration {
-	return config.Seconds(max(p.op.PoolHoldS, tuning.HoldBoots*p.world.Types[typ].BootS))
-}
-
 // list compares the cloud's list with the records: machines that stopped are
 // deleted, machines that nobody knows are recorded, to be used or returned.
 func (p *Pool) list(ctx context.Context, lead wire.Guard) {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -168,7 +168,7 @@
 			since, ok := k.surplus[s]
 			if !ok {
 				k.surplus[s] = now
-			} else if now.Sub(since) > tuning.GrantIdle {
+			} else if idle := now.Sub(since); idle > tuning.GrantSlow || idle > tuning.GrantIdle && (!limited || !g.Within(used.Plus(lot, 0.5))) {
 				delete(k.surplus, s)
 				c := k.change(s, q, stamp, used)
 				k.lowered[s] = used
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -57,7 +57,7 @@
 // NewClient makes a client of the service at addr.
 func NewClient(addr string, l Limits, rt http.RoundTripper) *Client {
 	if rt == nil {
-		rt = wire.Transport(tuning.StateTimeout, tuning.IdleConns)
+		rt = wire.Transport(tuning.StateTimeout, tuning.IdleConns, tuning.IdleConns)
 	}
 	c := &Client{
 		base: "http://" + addr, http: &http.Client{Transport: rt}, limits: l,
--- a/internal/store/commit.go
+++ b/internal/store/commit.go
@@ -21,17 +21,6 @@
 	Lazy   bool
 }
 
-// class orders items: lower goes first.
-func (it *Item) class() int {
-	switch {
-	case it.Urgent:
-		return 0
-	case it.Lazy:
-		return 2
-	}
-	return 1
-}
-
 func (it *Item) size() int {
 	n := 0
 	for _, g := range it.Guards {
@@ -51,8 +40,21 @@
 
 type pending struct {
 	Item
-	ctx  context.Context
-	done chan outcome
+	ctx   context.Context
+	since time.Time
+	done  chan outcome
+}
+
+// class orders items: lower goes first. A lazy one that has waited counts as any
+// other, or it would never have its turn.
+func (p *pending) class(now time.Time) int {
+	switch {
+	case p.Urgent:
+		return 0
+	case p.Lazy && now.Sub(p.since) < tuning.LazyPatience:
+		return 2
+	}
+	return 1
 }
 
 type outcome struct {
@@ -90,13 +92,14 @@
 // Do commits one item and waits. ErrGuard and ErrUnavailable mean that it was
 // not applied, ErrUnknown that it may have been or may yet be.
 func (c *Committer) Do(ctx context.Context, it Item) (uint64, error) {
-	p := &pending{Item: it, ctx: ctx, done: make(chan outcome, 1)}
+	now := time.Now()
+	p := &pending{Item: it, ctx: ctx, since: now, done: make(chan outcome, 1)}
 	c.mu.Lock()
 	if len(c.queue) >= tuning.CommitQueue {
 		c.mu.Unlock()
 		return 0, ErrUnavailable
 	}
-	i := slices.IndexFunc(c.queue, func(q *pending) bool { return q.class() > p.class() })
+	i := slices.IndexFunc(c.queue, func(q *pending) bool { return q.class(now) > p.class(now) })
 	if i < 0 {
 		i = len(c.queue)
 	}
@@ -126,6 +129,13 @@
 	}
 }
 
+// Waiting is how many changes wait for the budget.
+func (c *Committer) Waiting() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.queue)
+}
+
 func (c *Committer) poke() {
 	select {
 	case c.wake <- struct{}{}:
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -26,6 +26,8 @@
 	// CommitLanes is how many transactions a node has in flight. More would
 	// only make guards collide.
 	CommitLanes = 3
+	// LazyPatience is how long a lazy change waits behind all others.
+	LazyPatience = 2 * time.Second
 	// CommitQueue bounds the items that wait for a transaction.
 	CommitQueue = 4096
 	// StateTimeout is how long a request to the state service may take: usual
@@ -79,7 +81,7 @@
 	// IdleTimeout closes connections that carry nothing.
 	IdleTimeout = 90 * time.Second
 	// SocketShare of the socket limit is what the listener accepts; the rest is for our own connections.
-	SocketShare = 0.7
+	SocketShare = 0.8
 	// BusyRequests bounds the users' requests being served at once.
 	BusyRequests = 256
 	// ReadyStale is the age of the state view past which a node calls itself
@@ -119,6 +121,9 @@
 	// OrderLanes is how many direct commands a node has in flight. A machine that
 	// hangs holds one for OrderTimeout; tens of them must not hold up the others.
 	OrderLanes = 96
+	// OrderSockets is the share of the socket limit that connections to workers
+	// may keep; the workers' own connections are as many as its machines.
+	OrderSockets = 0.1
 	// KickQueue bounds the machines that wait for a lane.
 	KickQueue = 4096
 	// StrayAfter is how long a task that no record knows may be reported before
@@ -134,6 +139,9 @@
 	// directly: reports come up to a quarter late. One that does not answer in
 	// OrderTimeout is deleted, unless another node has heard it.
 	ProbeAfter = 1.35
+	// FindNode is how long a worker may take beyond that to find its part's new
+	// owner: it tries the nodes one after the other.
+	FindNode = 15 * time.Second
 	// DeadCap is the largest fraction of a node's machines (at least two) that
 	// may be deleted for silence in DeadWindow.
 	DeadCap = 0.15
@@ -184,6 +192,14 @@
 	RoundTasks = 96
 	// RoundJobs bounds the jobs looked at in one round.
 	RoundJobs = 400
+	// PressedItems is how many changes wait for the state service's budget when
+	// it counts as the bottleneck: then room is given to arrays PressedGap at a
+	// time, so that one write binds many tasks.
+	PressedItems = 12
+	PressedGap   = 700 * time.Millisecond
+	// BootLikely is how many nominal boot times after its rental another node's
+	// machine is taken for up, though its record does not say so yet.
+	BootLikely = 1.3
 	// JobBackoff and JobBackoffMax pace the restarts of a task that fails on several machines.
 	JobBackoff    = 2 * time.Second
 	JobBackoffMax = 60 * time.Second
@@ -215,6 +231,8 @@
 	// GrantIdle is how long a part keeps a granted share that its tasks do not
 	// use, once other parts may want it.
 	GrantIdle = 1 * time.Second
+	// GrantSlow is how long it keeps less than a lot of it.
+	GrantSlow = 6 * time.Second
 	// GrantLot is how much more than it needs a part is granted, as a share of the
 	// team's limit over the parts: grants follow use in lots, not task by task.
 	GrantLot = 0.25
@@ -255,9 +273,6 @@
 	CloudTimeout = 5 * time.Second
 	// CloudShare is the fraction of the cloud's rate that all nodes plan to use.
 	CloudShare = 0.85
-	// HoldBoots is how many nominal boot times a machine stands idle before it is
-	// returned, where that is longer than the operators' hold: coming back costs a boot.
-	HoldBoots = 0.0
 	// CloudLead is the leader's share of that; the others share the rest.
 	CloudLead = 0.6
 	// CatalogEvery is the interval at which the catalog is read again.
