Room gathered for wide gangs that wait; arrays first where their image is

Narrower ones took each machine as it became free, and what the wide ones had reserved in the round's end stood idle. Arrays took any machine of a full fleet, so that a fifth of the time went to fetching.

--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -46,9 +46,10 @@
 	assured  bool // within its team's guarantee
 	pressing bool // its deadline can still be met, but not for long
 	value    float64
-	home     int  // the part it is dealt to
-	left     int  // tasks that have no place yet in this round
-	later    bool // nothing of it is bound in this round
+	home     int    // the part it is dealt to
+	left     int    // tasks that have no place yet in this round
+	zone     string // where room is gathered for a gang
+	later    bool   // nothing of it is bound in this round
 }
 
 // guarantees finds the jobs that lie within their team's guarantee, together
@@ -223,8 +224,15 @@
 			for n < len(queue) && queue[n].rank == queue[0].rank {
 				n++
 			}
+			// Of work that is in no hurry, first comes what finds its image where
+			// there is room: to fetch it would take the machine's time.
 			for i := range queue[:n] {
-				r.deal(&queue[i], s, total)
+				if du := &queue[i]; r.admit(du, total) && du.rank > wire.Rank(wire.PriorityHigh) && !du.pressing {
+					r.deal(du, s, true)
+				}
+			}
+			for i := range queue[:n] {
+				r.deal(&queue[i], s, false)
 			}
 			for i := range queue[:n] {
 				r.spill(&queue[i], s, &d)
@@ -238,9 +246,8 @@
 	}
 }
 
-// deal gives a job's tasks room in the part that the job is dealt to, so that
-// its record has one writer as a rule. A gang is placed whole over all parts.
-func (r *round) deal(du *due, s *stock, total map[string]world.Amount) {
+// admit finds how many tasks of a job wait that its team's limit allows.
+func (r *round) admit(du *due, total map[string]world.Amount) bool {
 	j, spec := du.job, &du.job.Spec
 	du.left = max(0, j.Pending()-r.moveJ[spec.ID])
 	du.later = r.pressed && du.rank > wire.Rank(wire.PriorityHigh)
@@ -259,12 +266,24 @@
 			}
 		}
 	}
-	if du.left == 0 {
-		return // not a want of machines
-	}
 	total[spec.Team] = total[spec.Team].Plus(du.need, float64(du.left))
+	return du.left > 0 // none: not a want of machines
+}
+
+// deal gives a job's tasks room in the part that the job is dealt to, so that
+// its record has one writer as a rule; with held only where its image is. A gang
+// is placed whole over all parts.
+func (r *round) deal(du *due, s *stock, held bool) {
+	j, spec := du.job, &du.job.Spec
+	if du.left == 0 || held && spec.Kind == wire.KindGang {
+		return
+	}
 	if spec.Kind == wire.KindGang {
 		r.placeGang(du, s)
+		if du.left > 0 && r.now.Sub(time.UnixMilli(j.AtMs)) > tuning.GangPatience {
+			// Narrower ones would take each machine as it becomes free.
+			r.gather(du, s)
+		}
 		return
 	}
 	fit := s.fitting(spec, du.need, true)
@@ -274,8 +293,8 @@
 	}
 	k := r.chunk(j)
 	z := r.zones(j, k)
-	picks := r.choose(du, fit, &z, func(n *node) bool { return n.m.Part == du.home })
-	if _, mine := r.tokens[du.home]; !mine && len(picks) > 0 && r.waited(du) {
+	picks := r.choose(du, fit, &z, func(n *node) bool { return n.m.Part == du.home && (!held || r.holds(spec.Image, n)) })
+	if _, mine := r.tokens[du.home]; !mine && !held && len(picks) > 0 && r.waited(du) {
 		// Its owner has not taken it though there is room.
 		give(du, picks)
 		z = r.zones(j, k)
@@ -313,6 +332,10 @@
 	if du.left == 0 {
 		return
 	}
+	if du.zone != "" {
+		d.Groups = append(d.Groups, Group{Spec: spec, Count: du.left, Zone: du.zone, Since: time.UnixMilli(j.AtMs)})
+		return
+	}
 	k := r.chunk(j)
 	z := r.zones(j, k)
 	up, coming := s.fitting(spec, du.need, true), s.fitting(spec, du.need, false)
@@ -324,7 +347,7 @@
 		}
 	} else {
 		if spec.OneZone && z.pin == "" {
-			z.pin = roomiest(du.need, up, coming)
+			z.pin = r.roomiest(du, up, coming)
 		}
 		r.choose(du, up, &z, nil) // kept whole for it
 	}
@@ -344,13 +367,15 @@
 	}
 }
 
-// roomiest is the zone with the most room for tasks of a kind.
-func roomiest(need world.Amount, lists ...[]*node) string {
+// roomiest is the zone with the most room for tasks of a gang.
+func (r *round) roomiest(du *due, lists ...[]*node) string {
 	room := map[string]int{}
 	best := ""
 	for _, list := range lists {
 		for _, n := range list {
-			room[n.m.Zone] += fits(need, n.free)
+			if n.kept == "" || n.kept == du.job.Spec.ID {
+				room[n.m.Zone] += fits(du.need, n.free)
+			}
 		}
 	}
 	for zone, c := range room {
@@ -361,6 +386,54 @@
 	return best
 }
 
+// gather keeps room together for a gang that has waited: what is free or coming
+// up in one zone, then machines on which tasks of lower priority can be stopped.
+// All nodes find the same machines; each owner stops the tasks on its own.
+func (r *round) gather(du *due, s *stock) {
+	spec := &du.job.Spec
+	z := r.zones(du.job, 0)
+	var freeable []*node
+	var rooms []*node // with the room that each would have
+	for _, n := range s.ready {
+		if n.kept != "" && n.kept != spec.ID || !allowed(spec, n.m) || du.need.Within(n.free) {
+			continue
+		}
+		free := n.free
+		for rank := du.rank + 1; rank < len(n.m.Yield); rank++ {
+			free = free.Plus(n.m.Yield[rank], 1)
+		}
+		if du.need.Within(free) {
+			freeable = append(freeable, n)
+			rooms = append(rooms, &node{m: n.m, free: free, kept: n.kept})
+		}
+	}
+	up, coming := s.fitting(spec, du.need, true), s.fitting(spec, du.need, false)
+	if spec.OneZone && z.pin == "" {
+		z.pin = r.roomiest(du, up, coming, rooms)
+	}
+	du.zone = cmp.Or(z.pin, spec.Zone)
+	r.choose(du, up, &z, nil)
+	for _, n := range freeable {
+		if du.left == 0 || r.stops >= tuning.RoundStops {
+			break
+		}
+		if !z.open(n.m.Zone) {
+			continue
+		}
+		du.left--
+		n.free = world.Amount{}
+		if !n.mine || n.kept != "" {
+			n.kept = spec.ID
+			continue
+		}
+		r.stop(n, du, world.TaskRef{Job: spec.ID, Index: du.left}, r.victims(n, du))
+	}
+	r.choose(du, coming, &z, nil)
+	if du.left == 0 {
+		du.zone = ""
+	}
+}
+
 // home is the part that a job is dealt to: where its tasks already are, else
 // the first in an order of its own that has room for all of them. All nodes
 // find the same without a word; where views differ, the records' guards decide.
@@ -450,7 +523,7 @@
 		if !n.m.Spot {
 			t |= 4
 		}
-		if n.m.Images[spec.Image] == 0 && !(n.mine && r.holds(spec.Image, n)) {
+		if !r.holds(spec.Image, n) {
 			t |= 2
 		}
 		if n.free == n.capacity {
@@ -475,8 +548,12 @@
 	return picks
 }
 
-// holds tells whether a machine of this node's parts is believed to hold an image.
+// holds tells whether a machine is believed to hold an image: a task of it is
+// bound there, or, on a machine of this node's parts, has been.
 func (r *round) holds(image string, n *node) bool {
+	if n.m.Images[image] > 0 || !n.mine {
+		return n.m.Images[image] > 0
+	}
 	set, ok := r.holders[image]
 	if !ok {
 		set = r.fleet.Holders(image)
@@ -552,7 +629,7 @@
 		delete(r.held, n.m.Name)
 		n.kept = ""
 	}
-	r.log.Debug("task placed", "task", ref, "attempt", attempt, "machine", n.m.Name)
+	r.log.Debug("task placed", "task", ref, "attempt", attempt, "machine", n.m.Name, "image", r.holds(j.Spec.Image, n))
 	return true
 }
 
@@ -629,7 +706,7 @@
 			}
 			c := fits(du.need, n.free)
 			room[n.m.Zone] += c
-			if n.m.Images[du.job.Spec.Image] > 0 || n.mine && r.holds(du.job.Spec.Image, n) {
+			if r.holds(du.job.Spec.Image, n) {
 				images[n.m.Zone] += c
 			}
 		}
@@ -698,19 +775,9 @@
 	var victims []world.Binding
 	bestCost := math.Inf(1)
 	for _, n := range byPart[part][:min(len(byPart[part]), tuning.PreemptLook)] {
-		var list []world.Binding
-		for _, b := range n.m.Bound {
-			if r.yields(&b.Job.Spec, du) && !b.Job.Cancelled() && world.Yields(&b.Job.Spec) && !r.fleet.Stopping(b) {
-				list = append(list, b)
-			}
-		}
-		slices.SortFunc(list, func(a, b world.Binding) int {
-			return cmp.Or(-cmp.Compare(wire.Rank(a.Job.Spec.Priority), wire.Rank(b.Job.Spec.Priority)),
-				cmp.Compare(r.cost(a, n), r.cost(b, n)), cmp.Compare(a.Ref.String(), b.Ref.String()))
-		})
 		free, cost := n.free, 0.0
 		var take []world.Binding
-		for _, b := range list {
+		for _, b := range r.victims(n, du) {
 			if du.need.Within(free) {
 				break
 			}
@@ -722,20 +789,44 @@
 			best, victims, bestCost = n, take, cost
 		}
 	}
-	if best == nil {
-		return
+	if best != nil {
+		r.stop(best, du, ref, victims)
 	}
+}
+
+// victims gives the tasks on a machine that may be stopped for a job, those that
+// lose least first.
+func (r *round) victims(n *node, du *due) []world.Binding {
+	var list []world.Binding
+	for _, b := range n.m.Bound {
+		if r.yields(&b.Job.Spec, du) && !b.Job.Cancelled() && world.Yields(&b.Job.Spec) && !r.fleet.Stopping(b) {
+			list = append(list, b)
+		}
+	}
+	slices.SortFunc(list, func(a, b world.Binding) int {
+		return cmp.Or(-cmp.Compare(wire.Rank(a.Job.Spec.Priority), wire.Rank(b.Job.Spec.Priority)),
+			cmp.Compare(r.cost(a, n), r.cost(b, n)), cmp.Compare(a.Ref.String(), b.Ref.String()))
+	})
+	return list
+}
+
+// stop stops tasks on a machine until another has room there, and keeps the room.
+func (r *round) stop(n *node, du *due, ref world.TaskRef, victims []world.Binding) {
 	r.stops++
-	best.kept = ref.Job
-	best.free = world.Amount{}
-	r.held[best.m.Name] = reserve{ref, r.now.Add(tuning.PreemptHold)}
+	free := n.free
+	n.kept, n.free = ref.Job, world.Amount{}
+	r.held[n.m.Name] = reserve{ref, r.now.Add(tuning.PreemptHold)}
 	for _, b := range victims {
+		if du.need.Within(free) {
+			break
+		}
+		free = free.Plus(world.Need(&b.Job.Spec), 1)
 		grace := 0.0
 		if du.rank > 0 && b.Job.Spec.CheckpointS > 0 {
 			grace = graced(&b.Job.Spec)
 		}
-		r.log.Debug("stopping a task for one of higher priority", "task", b.Ref, "for", ref, "machine", best.m.Name)
-		r.fleet.Stop(b, best.m.Name, grace)
+		r.log.Debug("stopping a task for one of higher priority", "task", b.Ref, "for", ref, "machine", n.m.Name)
+		r.fleet.Stop(b, n.m.Name, grace)
 	}
 }
 
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -205,6 +205,9 @@
 	JobBackoffMax = 60 * time.Second
 	// PreemptHold is how long room freed for a task is kept for it.
 	PreemptHold = 12 * time.Second
+	// GangPatience is how long a gang waits before room is gathered for it ahead of
+	// others and by stopping tasks of lower priority.
+	GangPatience = 10 * time.Second
 	// GangForm is how long a gang may take to be bound whole before it is withdrawn.
 	GangForm = 6 * time.Second
 	// GangFormTask is added to it for each task, as one round binds a part of a long gang.
