--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -411,6 +411,20 @@
 	return out
 }
 
+// Images gives the machines of this node by the images that they are believed
+// to hold, for the other nodes.
+func (f *Fleet) Images() map[string][]string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := map[string][]string{}
+	for name, m := range f.machines {
+		for image := range m.images {
+			out[image] = append(out[image], name)
+		}
+	}
+	return out
+}
+
 // NoteImage records that a machine has just used an image; its cache keeps the
 // ones used last.
 func (f *Fleet) NoteImage(name, image string, gb, cacheGB float64) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -55,7 +55,7 @@
 	machines := pool.New(set, op, view, members, engine, cloud, commit, log)
 	users := intake.New(set, view, client, commit, cache, workers, log)
 	return &Node{handler: users.Handler(), runs: []func(context.Context) error{
-		cache.Run, commit.Run, members.Run, workers.Run, engine.Run, engine.Learn, machines.Run, peers.Run,
+		cache.Run, commit.Run, members.Run, workers.Run, engine.Run, engine.Learn, engine.Hints, machines.Run, peers.Run,
 	}}, nil
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -21,6 +21,7 @@
 type Witness interface {
 	HeardOf(machines []string) []string
 	FreshView() bool
+	Images() map[string][]string
 }
 
 // server answers other nodes.
@@ -37,6 +38,14 @@
 	return &peerpb.HeardReply{Heard: s.witness.HeardOf(machines), Fresh: s.witness.FreshView()}, nil
 }
 
+func (s *server) Images(context.Context, *peerpb.ImagesRequest) (*peerpb.ImagesReply, error) {
+	r := &peerpb.ImagesReply{}
+	for name, machines := range s.witness.Images() {
+		r.Images = append(r.Images, &peerpb.Image{Name: name, Machines: machines})
+	}
+	return r, nil
+}
+
 // Peers is a node's line to the others.
 type Peers struct {
 	self    string
@@ -86,28 +95,58 @@
 // Ask asks all other nodes which workers they have heard from, and gives who
 // has heard which.
 func (p *Peers) Ask(ctx context.Context, machines []string) map[string]string {
+	heard := map[string]string{}
+	askAll(ctx, p, func(ctx context.Context, c peerpb.PeerClient) (*peerpb.HeardReply, error) {
+		return c.Heard(ctx, &peerpb.HeardRequest{Node: p.self, Machines: machines})
+	}, func(node string, r *peerpb.HeardReply) {
+		if r.GetFresh() {
+			for _, m := range r.GetHeard() {
+				heard[m] = node
+			}
+		}
+	})
+	return heard
+}
+
+// Images asks all other nodes which images their machines are believed to hold.
+func (p *Peers) Images(ctx context.Context) map[string]map[string]bool {
+	held := map[string]map[string]bool{}
+	askAll(ctx, p, func(ctx context.Context, c peerpb.PeerClient) (*peerpb.ImagesReply, error) {
+		return c.Images(ctx, &peerpb.ImagesRequest{Node: p.self})
+	}, func(_ string, r *peerpb.ImagesReply) {
+		for _, i := range r.GetImages() {
+			set := held[i.GetName()]
+			if set == nil {
+				set = map[string]bool{}
+				held[i.GetName()] = set
+			}
+			for _, m := range i.GetMachines() {
+				set[m] = true
+			}
+		}
+	})
+	return held
+}
+
+// askAll puts a question to all other nodes at once and takes in the answers
+// that come in time, one by one.
+func askAll[R any](ctx context.Context, p *Peers, ask func(context.Context, peerpb.PeerClient) (R, error), take func(string, R)) {
 	ctx, cancel := context.WithTimeout(ctx, tuning.PeerTimeout)
 	defer cancel()
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	heard := map[string]string{}
 	for node, c := range p.clients {
 		wg.Go(func() {
 			start := time.Now()
-			r, err := c.Heard(ctx, &peerpb.HeardRequest{Node: p.self, Machines: machines})
+			r, err := ask(ctx, c)
 			if err != nil {
 				p.log.Debug("peer silent", "peer", node, "err", err, "took", time.Since(start))
 				return
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			if r.GetFresh() {
-				for _, m := range r.GetHeard() {
-					heard[m] = node
-				}
-			}
+			take(node, r)
 		})
 	}
 	wg.Wait()
-	return heard
 }
--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -58,13 +58,16 @@
 	reader    Reader
 	peers     Peers
 	asked     time.Time
-	vetoes    map[string]veto // silent machines, by what the peers said
+	vetoes    map[string]veto            // silent machines, by what the peers said
+	hints     map[string]map[string]bool // the other nodes' machines by image
 	again     chan struct{}
 }
 
 // Peers asks the other nodes which workers they have heard from.
 type Peers interface {
 	Ask(ctx context.Context, machines []string) map[string]string
+	// Images asks which machines of theirs are believed to hold which images.
+	Images(ctx context.Context) map[string]map[string]bool
 }
 
 // veto is what the peers said of a silent machine; no node: none has heard it.
@@ -143,6 +146,25 @@
 	}
 }
 
+// Hints keeps in mind which images the other nodes' machines hold, until ctx ends.
+// Where peers don't answer, what they last said stands: it is only a hint.
+func (e *Engine) Hints(ctx context.Context) error {
+	tick := time.NewTicker(tuning.ImagesEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+		if hints := e.peers.Images(ctx); len(hints) > 0 {
+			e.mu.Lock()
+			e.hints = hints
+			e.mu.Unlock()
+		}
+	}
+}
+
 func (e *Engine) poke() {
 	select {
 	case e.again <- struct{}{}:
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -452,18 +452,15 @@
 		return best
 	}
 	first := r.first(du.job)
-	if du.rank <= wire.Rank(wire.PriorityHigh) {
-		// Urgent work goes where its image is, as far as all nodes know.
-		held := make([]int, r.world.Size)
-		for _, n := range fit {
-			if n.m.Images[du.job.Spec.Image] > 0 {
-				held[n.m.Part] += fits(du.need, n.free)
-			}
-		}
-		if p, ok := roomy(held, first, du.left); ok {
-			return p
+	held := make([]int, r.world.Size)
+	for _, n := range fit {
+		if r.holds(du.job.Spec.Image, n) {
+			held[n.m.Part] += fits(du.need, n.free)
 		}
 	}
+	if p, ok := roomy(held, first, du.left); ok {
+		return p
+	}
 	p, _ := roomy(rooms, first, du.left)
 	return p
 }
@@ -549,10 +546,13 @@
 }
 
 // holds tells whether a machine is believed to hold an image: a task of it is
-// bound there, or, on a machine of this node's parts, has been.
+// bound there, or has been, as its part's owner knows and tells the others.
 func (r *round) holds(image string, n *node) bool {
-	if n.m.Images[image] > 0 || !n.mine {
-		return n.m.Images[image] > 0
+	if n.m.Images[image] > 0 {
+		return true
+	}
+	if !n.mine {
+		return r.hints[image][n.m.Name]
 	}
 	set, ok := r.holders[image]
 	if !ok {
@@ -661,15 +661,23 @@
 	if !forming { // else one too long for a transaction is completed
 		attempt++
 	}
-	// One that has room in its own part stays there: images are known best.
+	// One that finds its image at once goes first, then one that has room in its
+	// own part, where no other node places.
 	du.home = r.first(j)
 	z := r.zones(j, 0)
 	fit := s.fitting(spec, du.need, true)
 	inPart := func(n *node) bool { return n.m.Part == du.home }
 	certain := func(n *node) bool { return n.mine || n.m.Up } // its worker's session is known
-	picks := r.chooseZone(du, fit, z, inPart)
-	if picks == nil {
-		picks = r.chooseZone(du, fit, z, certain)
+	held := func(n *node) bool { return r.holds(spec.Image, n) }
+	var picks []*node
+	for _, also := range []func(*node) bool{
+		func(n *node) bool { return inPart(n) && held(n) },
+		func(n *node) bool { return certain(n) && held(n) },
+		inPart, certain,
+	} {
+		if picks = r.chooseZone(du, fit, z, also); picks != nil {
+			break
+		}
 	}
 	if picks == nil {
 		r.waiting(j, "no room for all its tasks", nil)
--- a/internal/standin/region.go
+++ b/internal/standin/region.go
@@ -54,6 +54,24 @@
 	return out
 }
 
+func (l lines) Images(context.Context) map[string]map[string]bool {
+	out := map[string]map[string]bool{}
+	for _, c := range l.r.nodes {
+		if _, cut := l.r.Net.cut(l.self.Set.Node, c.Set.Node); cut || c == l.self || !c.alive.Load() {
+			continue
+		}
+		for image, machines := range c.witness.Images() {
+			if out[image] == nil {
+				out[image] = map[string]bool{}
+			}
+			for _, m := range machines {
+				out[image][m] = true
+			}
+		}
+	}
+	return out
+}
+
 // Region is a whole deployment of stand-ins around real controllers.
 type Region struct {
 	Set    *config.Settings
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -359,7 +359,10 @@
 	// PeerMachines bounds the machines in one question.
 	PeerMachines = 1000
 	// PeerMessage bounds a message, in bytes.
-	PeerMessage = 64 << 10
+	PeerMessage = 512 << 10
+	// ImagesEvery is the interval at which the others' images are asked for: some
+	// 30 KiB an answer at hundreds of machines.
+	ImagesEvery = 3 * time.Second
 	// PeerStreams bounds the questions served at once.
 	PeerStreams = 32
 	// AskEvery is the shortest time between two questions.
