--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -143,7 +143,8 @@
 			return d, slack < max(tuning.DeadlineGuardMin, time.Duration(tuning.DeadlineGuard*float64(run)))
 		}
 	}
-	return aims[len(aims)-1], false
+	// Nothing can be met any more: what still can goes first.
+	return aims[len(aims)-1].Add(tuning.NoDeadline), false
 }
 
 // zones is where the tasks of one record of a job stand, and what the rules
@@ -280,7 +281,8 @@
 	}
 	if spec.Kind == wire.KindGang {
 		r.placeGang(du, s)
-		if du.left > 0 && r.now.Sub(time.UnixMilli(j.AtMs)) > tuning.GangPatience {
+		patience := tuning.GangPatience + time.Duration(spec.Tasks)*tuning.GangPatienceTask
+		if du.left > 0 && r.now.Sub(time.UnixMilli(j.AtMs)) > patience {
 			// Narrower ones would take each machine as it becomes free.
 			r.gather(du, s)
 		}
@@ -349,7 +351,12 @@
 		if spec.OneZone && z.pin == "" {
 			z.pin = r.roomiest(du, up, coming)
 		}
-		r.choose(du, up, &z, nil) // kept whole for it
+		if spec.Tasks <= tuning.GangNarrow {
+			r.choose(du, up, &z, nil) // kept whole for it
+		} else {
+			// What a wide one lacks comes up together; what is free meanwhile serves others.
+			du.left -= min(du.left, r.roomIn(du, up, z.pin))
+		}
 	}
 	if du.left == 0 {
 		return
@@ -386,6 +393,17 @@
 	return best
 }
 
+// roomIn is how many tasks of a gang have room in a zone.
+func (r *round) roomIn(du *due, list []*node, zone string) int {
+	sum := 0
+	for _, n := range list {
+		if (zone == "" || n.m.Zone == zone) && (n.kept == "" || n.kept == du.job.Spec.ID) {
+			sum += fits(du.need, n.free)
+		}
+	}
+	return sum
+}
+
 // gather keeps room together for a gang that has waited: what is free or coming
 // up in one zone, then machines on which tasks of lower priority can be stopped.
 // All nodes find the same machines; each owner stops the tasks on its own.
@@ -411,6 +429,10 @@
 	if spec.OneZone && z.pin == "" {
 		z.pin = r.roomiest(du, up, coming, rooms)
 	}
+	if r.gathered[z.pin] {
+		return // one at a time in each zone, or each would hold a part of what it needs
+	}
+	r.gathered[z.pin] = true
 	du.zone = cmp.Or(z.pin, spec.Zone)
 	r.choose(du, up, &z, nil)
 	for _, n := range freeable {
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -299,3 +299,66 @@
 		f.round(0)
 	}
 }
+
+// TestStartsGoWhereTheImageIs: of machines with room, those that hold the image
+// are taken, also in other nodes' parts, of which hints tell.
+func TestStartsGoWhereTheImageIs(t *testing.T) {
+	f := newField(t)
+	held := map[string]map[string]bool{"g": {}}
+	for i := range 60 {
+		if name := f.machine(i, false); i < 9 {
+			held["g"][name] = true
+			f.fleets[world.PartOf(name, testParts)].NoteImage(name, "g", 4, 50)
+		}
+	}
+	f.job(gang(1, 3))
+	total := 0
+	for i, e := range f.engines {
+		e.hints = held
+		_, bound := f.round(i)
+		total += len(bound)
+		for _, b := range bound {
+			if !held["g"][b.machine] {
+				t.Errorf("%s does not hold the image", b.machine)
+			}
+		}
+	}
+	if total != 3 {
+		t.Errorf("%d of 3 tasks bound", total)
+	}
+}
+
+// TestRoomIsGatheredForAWideGang: a wide gang that has waited keeps what is free
+// in one zone and has tasks of lower priority stopped there; narrower gangs that
+// came later once took each machine as it became free.
+func TestRoomIsGatheredForAWideGang(t *testing.T) {
+	f := newField(t)
+	for i := range 60 {
+		name := f.machine(i, false)
+		if i%2 == 0 {
+			f.job(array(5000+i, 1), world.Task{State: world.Bound, Attempt: 1, Machine: name, Session: 1})
+		}
+	}
+	wide := gang(1, 16) // each zone has ten machines free and ten with an array's task
+	wide.Team, wide.Class = "t", "c"
+	f.put(world.JobKey(wide.ID), world.JobRecord{Spec: wide, AtMs: testNow.Add(-time.Minute).UnixMilli()})
+	for i := range 20 {
+		f.job(gang(100+i, 1))
+	}
+	stops, zones := 0, map[string]bool{}
+	for i, e := range f.engines {
+		r, bound := f.round(i)
+		stops += r.stops
+		for _, b := range bound {
+			zones[f.world.Machines[b.machine].Zone] = true
+		}
+		for name := range e.held {
+			if e.held[name].ref.Job != wide.ID {
+				t.Errorf("room freed for %v", e.held[name].ref)
+			}
+		}
+	}
+	if stops != 6 || len(zones) != 2 {
+		t.Errorf("%d machines are freed, want 6; narrow gangs start in zones %v, want two", stops, zones)
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -208,6 +208,12 @@
 	// GangPatience is how long a gang waits before room is gathered for it ahead of
 	// others and by stopping tasks of lower priority.
 	GangPatience = 10 * time.Second
+	// GangPatienceTask is added to it for each task: wide gangs are few, and narrow
+	// ones pass while room for them comes together.
+	GangPatienceTask = 1200 * time.Millisecond
+	// GangNarrow is the most tasks of a gang for which free machines are kept while
+	// others come up for it.
+	GangNarrow = 4
 	// GangForm is how long a gang may take to be bound whole before it is withdrawn.
 	GangForm = 6 * time.Second
 	// GangFormTask is added to it for each task, as one round binds a part of a long gang.
