--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -49,6 +49,7 @@
 	home     int    // the part it is dealt to
 	left     int    // tasks that have no place yet in this round
 	zone     string // where room is gathered for a gang
+	patient  bool   // it leaves room that is kept for urgent work: spot machines are rented for it
 	later    bool   // nothing of it is bound in this round
 }
 
@@ -220,11 +221,16 @@
 				total[team] = total[team].Plus(a, 1)
 			}
 		}
+		reserved := false
 		for len(queue) > 0 {
 			n := 1
 			for n < len(queue) && queue[n].rank == queue[0].rank {
 				n++
 			}
+			if queue[0].rank > wire.Rank(wire.PriorityHigh) && !reserved {
+				reserved = true
+				s.reserve(r.reserve)
+			}
 			// Of work that is in no hurry, first comes what finds its image where
 			// there is room: to fetch it would take the machine's time.
 			for i := range queue[:n] {
@@ -251,6 +257,7 @@
 func (r *round) admit(du *due, total map[string]world.Amount) bool {
 	j, spec := du.job, &du.job.Spec
 	du.left = max(0, j.Pending()-r.moveJ[spec.ID])
+	du.patient = spec.Spot && du.rank > wire.Rank(wire.PriorityHigh) && !du.pressing && r.now.Sub(time.UnixMilli(j.AtMs)) < tuning.StarveAfter
 	du.later = r.pressed && du.rank > wire.Rank(wire.PriorityHigh)
 	if limit, ok := r.quota.Limit(spec.Team); ok {
 		open := limit.Plus(total[spec.Team], -1)
@@ -288,23 +295,36 @@
 		}
 		return
 	}
-	fit := s.fitting(spec, du.need, true)
-	du.home = r.home(du, fit)
+	fit := s.fitting(du, true)
+	also := func(n *node) bool { return n.m.Part == du.home && (!held || r.holds(spec.Image, n)) }
+	if spec.Kind == wire.KindService {
+		// Its tasks go wherever the image is; the owner of one part places them all.
+		du.home = r.first(j)
+		also = certain
+	} else {
+		du.home = r.home(du, fit)
+	}
 	if len(fit) == 0 {
 		return
 	}
 	k := r.chunk(j)
 	z := r.zones(j, k)
-	picks := r.choose(du, fit, &z, func(n *node) bool { return n.m.Part == du.home && (!held || r.holds(spec.Image, n)) })
+	picks := r.choose(du, fit, &z, also)
 	if _, mine := r.tokens[du.home]; !mine && !held && len(picks) > 0 && r.waited(du) {
 		// Its owner has not taken it though there is room.
 		give(du, picks)
 		z = r.zones(j, k)
 		picks = r.choose(du, fit, &z, func(n *node) bool { return n.mine })
+	} else if mine && spec.Kind == wire.KindService {
+		r.bindTasks(du, k, picks, du.home)
+		return
 	}
-	r.bindTasks(du, k, picks)
+	r.bindOwn(du, k, picks)
 }
 
+// certain tells whether a machine's worker and its session are known.
+func certain(n *node) bool { return n.mine || n.m.Up }
+
 // chunk is the record of a job whose tasks are placed in this round: where the
 // tasks of each record must be spread, the first in which one waits.
 func (r *round) chunk(j *world.Job) int {
@@ -340,12 +360,12 @@
 	}
 	k := r.chunk(j)
 	z := r.zones(j, k)
-	up, coming := s.fitting(spec, du.need, true), s.fitting(spec, du.need, false)
+	up, coming := s.fitting(du, true), s.fitting(du, false)
 	gang := spec.Kind == wire.KindGang
 	if !gang {
 		if picks := r.choose(du, up, &z, func(n *node) bool { return n.m.Part != du.home }); len(picks) > 0 &&
 			(du.rank <= wire.Rank(wire.PriorityHigh) || r.waited(du)) {
-			r.bindTasks(du, k, picks)
+			r.bindOwn(du, k, picks)
 		}
 	} else {
 		if spec.OneZone && z.pin == "" {
@@ -425,7 +445,7 @@
 			rooms = append(rooms, &node{m: n.m, free: free, kept: n.kept})
 		}
 	}
-	up, coming := s.fitting(spec, du.need, true), s.fitting(spec, du.need, false)
+	up, coming := s.fitting(du, true), s.fitting(du, false)
 	if spec.OneZone && z.pin == "" {
 		z.pin = r.roomiest(du, up, coming, rooms)
 	}
@@ -584,11 +604,16 @@
 	return set[n.m.Name]
 }
 
-// bindTasks binds waiting tasks of a job to those of the machines that are this
+// bindOwn binds waiting tasks of a job to those of the machines that are this
 // node's.
-func (r *round) bindTasks(du *due, chunk int, picks []*node) {
+func (r *round) bindOwn(du *due, chunk int, picks []*node) {
+	r.bindTasks(du, chunk, slices.DeleteFunc(picks, func(n *node) bool { return !n.mine }), -1)
+}
+
+// bindTasks binds waiting tasks of a job to machines, at the charge of one part
+// or, without it, of each machine's own.
+func (r *round) bindTasks(du *due, chunk int, picks []*node, charge int) {
 	j, spec := du.job, &du.job.Spec
-	picks = slices.DeleteFunc(picks, func(n *node) bool { return !n.mine })
 	if du.later {
 		return
 	}
@@ -608,7 +633,11 @@
 		}
 		looked++
 		n := picks[0]
-		if !r.bind(du, i, t.Attempt+1, n, n.m.Part) {
+		part := charge
+		if part < 0 {
+			part = n.m.Part
+		}
+		if !r.bind(du, i, t.Attempt+1, n, part) {
 			return
 		}
 		picks = picks[1:]
@@ -687,9 +716,8 @@
 	// own part, where no other node places.
 	du.home = r.first(j)
 	z := r.zones(j, 0)
-	fit := s.fitting(spec, du.need, true)
+	fit := s.fitting(du, true)
 	inPart := func(n *node) bool { return n.m.Part == du.home }
-	certain := func(n *node) bool { return n.mine || n.m.Up } // its worker's session is known
 	held := func(n *node) bool { return r.holds(spec.Image, n) }
 	var picks []*node
 	for _, also := range []func(*node) bool{
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -207,10 +207,10 @@
 	PreemptHold = 12 * time.Second
 	// GangPatience is how long a gang waits before room is gathered for it ahead of
 	// others and by stopping tasks of lower priority.
-	GangPatience = 10 * time.Second
+	GangPatience = 45 * time.Second
 	// GangPatienceTask is added to it for each task: wide gangs are few, and narrow
 	// ones pass while room for them comes together.
-	GangPatienceTask = 1200 * time.Millisecond
+	GangPatienceTask = 500 * time.Millisecond
 	// GangNarrow is the most tasks of a gang for which free machines are kept while
 	// others come up for it.
 	GangNarrow = 4
