--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
+
+	"sableusher/internal/tuning"
 )
 
 // Settings is what the platform hands to every node.
@@ -140,6 +142,21 @@
 	if d.Size != len(s.Siblings)+1 {
 		bad("deployment.size: %d, but there are %d siblings", d.Size, len(s.Siblings))
 	}
+	zones := map[string]bool{}
+	for i, z := range d.Zones {
+		if z == "" || zones[z] {
+			bad("deployment.zones[%d]: %q is missing or twice", i, z)
+		}
+		zones[z] = true
+	}
+	if !zones[s.Zone] {
+		bad("area: zone %q is not one of the deployment's", s.Zone)
+	}
+	for i, p := range s.Siblings {
+		if !zones[p.Zone] {
+			bad("siblings[%d].area: zone %q is not one of the deployment's", i, p.Zone)
+		}
+	}
 	num("deployment.time_bound_ms", d.TimeBoundMs, 0, 1e6)
 	names := map[string]bool{}
 	for i, t := range d.Teams {
@@ -159,7 +176,7 @@
 	num("deployment.workers.cancel_s", d.Workers.CancelS, d.Workers.LeaseS+1, 86400)
 	num("deployment.state.rps", d.State.RPS, 1, 1e7)
 	num("deployment.state.write_rps", d.State.WriteRPS, 1, 1e7)
-	num("deployment.state.value_kb", d.State.ValueKB, 4, 1<<20)
+	num("deployment.state.value_kb", d.State.ValueKB, tuning.LeastValueKB, 1<<20)
 	num("deployment.state.txn_ops", float64(d.State.TxnOps), 4, 1e6)
 	num("deployment.cloud.rps", d.Cloud.RPS, 0.01, 1e6)
 	num("deployment.cloud.list_lag_s", d.Cloud.ListLagS, 0, 3600)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -54,6 +54,7 @@
 	for _, c := range [][2]string{
 		{`node_name = "n0"`, `node_name`}, {`listen = "10.0.0.1:8080"`, "listen"}, {`state = "10.2.0.1:2379"`, "outside.state"},
 		{`size = 2`, "deployment.size"}, {`cancel_s = 44.0`, "cancel_s"}, {`rps = 200.0`, "state.rps"}, {`mem_mb = 179.0`, "mem_mb"},
+		{`zones = ["a", "b"]`, "area"}, {`area = "b"`, "siblings[0].area"}, {`value_kb = 16.0`, "value_kb"},
 	} {
 		if _, err := Parse([]byte(strings.Replace(good, c[0], "", 1))); err == nil || !strings.Contains(err.Error(), c[1]) {
 			t.Errorf("without %s: %v", c[0], err)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -48,17 +48,18 @@
 
 // Peers is a node's line to the others.
 type Peers struct {
-	self    string
-	listen  string
-	witness Witness
-	clients map[string]peerpb.PeerClient
-	conns   []*grpc.ClientConn
-	log     *slog.Logger
+	self     string
+	listen   string
+	witness  Witness
+	clients  map[string]peerpb.PeerClient
+	conns    []*grpc.ClientConn
+	log      *slog.Logger
+	patience time.Duration // how long a question may take
 }
 
 // New makes the lines to a node's siblings; nothing is sent yet.
 func New(set *config.Settings, w Witness, log *slog.Logger) (*Peers, error) {
-	p := &Peers{self: set.Node, listen: set.Back, witness: w, clients: map[string]peerpb.PeerClient{}, log: log}
+	p := &Peers{self: set.Node, listen: set.Back, witness: w, clients: map[string]peerpb.PeerClient{}, log: log, patience: tuning.PeerTimeout}
 	for _, s := range set.Siblings {
 		c, err := grpc.NewClient("passthrough:///"+s.Endpoint, grpc.WithTransportCredentials(insecure.NewCredentials()),
 			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(tuning.PeerMessage)))
@@ -131,7 +132,7 @@
 // askAll puts a question to all other nodes at once and takes in the answers
 // that come in time, one by one.
 func askAll[R any](ctx context.Context, p *Peers, ask func(context.Context, peerpb.PeerClient) (R, error), take func(string, R)) {
-	ctx, cancel := context.WithTimeout(ctx, tuning.PeerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, p.patience)
 	defer cancel()
 	var mu sync.Mutex
 	var wg sync.WaitGroup
--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -53,7 +53,6 @@
 	assured   map[string]bool
 	assuredAt time.Time
 	valued    map[string]valued
-	reserve   float64
 	demand    Demand
 	values    values
 	reader    Reader
@@ -309,14 +308,6 @@
 	return out
 }
 
-// Reserve sets the room of ordinary machines, in machines, that is kept for work
-// that can't use others.
-func (e *Engine) Reserve(room float64) {
-	e.mu.Lock()
-	e.reserve = room
-	e.mu.Unlock()
-}
-
 // Demand is what could not be placed, for the pool.
 func (e *Engine) Demand() Demand {
 	e.mu.Lock()
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -46,11 +46,9 @@
 	assured  bool // within its team's guarantee
 	pressing bool // its deadline can still be met, but not for long
 	value    float64
-	home     int    // the part it is dealt to
-	left     int    // tasks that have no place yet in this round
-	zone     string // where room is gathered for a gang
-	patient  bool   // it leaves room that is kept for urgent work: spot machines are rented for it
-	later    bool   // nothing of it is bound in this round
+	home     int  // the part it is dealt to
+	left     int  // tasks that have no place yet in this round
+	later    bool // nothing of it is bound in this round
 }
 
 // guarantees finds the jobs that lie within their team's guarantee, together
@@ -144,8 +142,7 @@
 			return d, slack < max(tuning.DeadlineGuardMin, time.Duration(tuning.DeadlineGuard*float64(run)))
 		}
 	}
-	// Nothing can be met any more: what still can goes first.
-	return aims[len(aims)-1].Add(tuning.NoDeadline), false
+	return aims[len(aims)-1], false
 }
 
 // zones is where the tasks of one record of a job stand, and what the rules
@@ -221,16 +218,11 @@
 				total[team] = total[team].Plus(a, 1)
 			}
 		}
-		reserved := false
 		for len(queue) > 0 {
 			n := 1
 			for n < len(queue) && queue[n].rank == queue[0].rank {
 				n++
 			}
-			if queue[0].rank > wire.Rank(wire.PriorityHigh) && !reserved {
-				reserved = true
-				s.reserve(r.reserve)
-			}
 			// Of work that is in no hurry, first comes what finds its image where
 			// there is room: to fetch it would take the machine's time.
 			for i := range queue[:n] {
@@ -257,7 +249,6 @@
 func (r *round) admit(du *due, total map[string]world.Amount) bool {
 	j, spec := du.job, &du.job.Spec
 	du.left = max(0, j.Pending()-r.moveJ[spec.ID])
-	du.patient = spec.Spot && du.rank > wire.Rank(wire.PriorityHigh) && !du.pressing && r.now.Sub(time.UnixMilli(j.AtMs)) < tuning.StarveAfter
 	du.later = r.pressed && du.rank > wire.Rank(wire.PriorityHigh)
 	if limit, ok := r.quota.Limit(spec.Team); ok {
 		open := limit.Plus(total[spec.Team], -1)
@@ -288,11 +279,6 @@
 	}
 	if spec.Kind == wire.KindGang {
 		r.placeGang(du, s)
-		patience := tuning.GangPatience + time.Duration(spec.Tasks)*tuning.GangPatienceTask
-		if du.left > 0 && r.now.Sub(time.UnixMilli(j.AtMs)) > patience {
-			// Narrower ones would take each machine as it becomes free.
-			r.gather(du, s)
-		}
 		return
 	}
 	fit := s.fitting(du, true)
@@ -354,10 +340,6 @@
 	if du.left == 0 {
 		return
 	}
-	if du.zone != "" {
-		d.Groups = append(d.Groups, Group{Spec: spec, Count: du.left, Zone: du.zone, Since: time.UnixMilli(j.AtMs)})
-		return
-	}
 	k := r.chunk(j)
 	z := r.zones(j, k)
 	up, coming := s.fitting(du, true), s.fitting(du, false)
@@ -371,12 +353,7 @@
 		if spec.OneZone && z.pin == "" {
 			z.pin = r.roomiest(du, up, coming)
 		}
-		if spec.Tasks <= tuning.GangNarrow {
-			r.choose(du, up, &z, nil) // kept whole for it
-		} else {
-			// What a wide one lacks comes up together; what is free meanwhile serves others.
-			du.left -= min(du.left, r.roomIn(du, up, z.pin))
-		}
+		r.choose(du, up, &z, nil) // kept whole for it
 	}
 	if du.left == 0 {
 		return
@@ -413,69 +390,6 @@
 	return best
 }
 
-// roomIn is how many tasks of a gang have room in a zone.
-func (r *round) roomIn(du *due, list []*node, zone string) int {
-	sum := 0
-	for _, n := range list {
-		if (zone == "" || n.m.Zone == zone) && (n.kept == "" || n.kept == du.job.Spec.ID) {
-			sum += fits(du.need, n.free)
-		}
-	}
-	return sum
-}
-
-// gather keeps room together for a gang that has waited: what is free or coming
-// up in one zone, then machines on which tasks of lower priority can be stopped.
-// All nodes find the same machines; each owner stops the tasks on its own.
-func (r *round) gather(du *due, s *stock) {
-	spec := &du.job.Spec
-	z := r.zones(du.job, 0)
-	var freeable []*node
-	var rooms []*node // with the room that each would have
-	for _, n := range s.ready {
-		if n.kept != "" && n.kept != spec.ID || !allowed(spec, n.m) || du.need.Within(n.free) {
-			continue
-		}
-		free := n.free
-		for rank := du.rank + 1; rank < len(n.m.Yield); rank++ {
-			free = free.Plus(n.m.Yield[rank], 1)
-		}
-		if du.need.Within(free) {
-			freeable = append(freeable, n)
-			rooms = append(rooms, &node{m: n.m, free: free, kept: n.kept})
-		}
-	}
-	up, coming := s.fitting(du, true), s.fitting(du, false)
-	if spec.OneZone && z.pin == "" {
-		z.pin = r.roomiest(du, up, coming, rooms)
-	}
-	if r.gathered[z.pin] {
-		return // one at a time in each zone, or each would hold a part of what it needs
-	}
-	r.gathered[z.pin] = true
-	du.zone = cmp.Or(z.pin, spec.Zone)
-	r.choose(du, up, &z, nil)
-	for _, n := range freeable {
-		if du.left == 0 || r.stops >= tuning.RoundStops {
-			break
-		}
-		if !z.open(n.m.Zone) {
-			continue
-		}
-		du.left--
-		n.free = world.Amount{}
-		if !n.mine || n.kept != "" {
-			n.kept = spec.ID
-			continue
-		}
-		r.stop(n, du, world.TaskRef{Job: spec.ID, Index: du.left}, r.victims(n, du))
-	}
-	r.choose(du, coming, &z, nil)
-	if du.left == 0 {
-		du.zone = ""
-	}
-}
-
 // home is the part that a job is dealt to: where its tasks already are, else
 // the first in an order of its own that has room for all of them. All nodes
 // find the same without a word; where views differ, the records' guards decide.
--- a/internal/place/settle.go
+++ b/internal/place/settle.go
@@ -17,24 +17,23 @@
 // round is one look at the view; it collects the changes to make.
 type round struct {
 	*Engine
-	now      time.Time
-	tokens   map[int]uint64
-	stamps   map[int]uint64
-	edits    map[editKey]*edit
-	out      []*change
-	moveM    map[string]world.Amount // on their way, by machine
-	moveP    map[int]map[string]world.Amount
-	moveJ    map[string]int // tasks on their way, by job
-	live     []bool         // parts whose owner lives
-	bound    int
-	gathered map[string]bool // zones in which room is gathered for a gang
-	stock    *stock
-	pressed  bool                       // the state service's budget is the bottleneck
-	stops    int                        // machines on which room is being freed in this round
-	holders  map[string]map[string]bool // machines of this node's parts by image
-	blocked  bool                       // a task's end could not be written yet
-	gangs    map[gangKey]bool           // whether an attempt is broken, looked at once a round
-	seen     *learn.State               // what this round chooses in
+	now     time.Time
+	tokens  map[int]uint64
+	stamps  map[int]uint64
+	edits   map[editKey]*edit
+	out     []*change
+	moveM   map[string]world.Amount // on their way, by machine
+	moveP   map[int]map[string]world.Amount
+	moveJ   map[string]int // tasks on their way, by job
+	live    []bool         // parts whose owner lives
+	bound   int
+	stock   *stock
+	pressed bool                       // the state service's budget is the bottleneck
+	stops   int                        // machines on which room is being freed in this round
+	holders map[string]map[string]bool // machines of this node's parts by image
+	blocked bool                       // a task's end could not be written yet
+	gangs   map[gangKey]bool           // whether an attempt is broken, looked at once a round
+	seen    *learn.State               // what this round chooses in
 }
 
 // editKey names one record of a job.
@@ -61,7 +60,7 @@
 func (e *Engine) newRound(now time.Time) *round {
 	r := &round{Engine: e, now: now, tokens: map[int]uint64{}, stamps: map[int]uint64{}, edits: map[editKey]*edit{}, gangs: map[gangKey]bool{},
 		moveM: map[string]world.Amount{}, moveP: map[int]map[string]world.Amount{}, moveJ: map[string]int{},
-		holders: map[string]map[string]bool{}, live: make([]bool, e.world.Size), gathered: map[string]bool{}}
+		holders: map[string]map[string]bool{}, live: make([]bool, e.world.Size)}
 	for p := range e.world.Size {
 		_, r.live[p] = e.member.OwnerOf(p)
 		r.moveP[p] = map[string]world.Amount{}
--- a/internal/place/stock.go
+++ b/internal/place/stock.go
@@ -20,7 +20,6 @@
 	free     world.Amount
 	mine     bool
 	kept     string
-	reserved bool // for urgent work that can't use spot machines
 }
 
 // stock is the room of a round. The machines are looked at once for each round,
@@ -37,9 +36,8 @@
 
 // failure is a need for which there is no room on any machine it may use.
 type failure struct {
-	need    world.Amount
-	spec    *wire.Spec
-	patient bool
+	need world.Amount
+	spec *wire.Spec
 }
 
 func (r *round) newStock() *stock {
@@ -119,24 +117,6 @@
 	s.open = slices.DeleteFunc(slices.Clone(s.ready), func(n *node) bool { return !least.Within(n.free) })
 }
 
-// reserve keeps room of ordinary machines for urgent work: those that nothing
-// uses first.
-func (s *stock) reserve(room float64) {
-	for _, whole := range []bool{true, false} {
-		for _, n := range s.ready {
-			if room <= 0 {
-				return
-			}
-			if !n.m.Spot && !n.reserved && (n.free == n.capacity) == whole {
-				if free := share(n.free, n.capacity); free > 0 {
-					n.reserved = true
-					room -= free
-				}
-			}
-		}
-	}
-}
-
 // fitting gives the machines, up or coming, with room for a task.
 func (s *stock) fitting(du *due, ready bool) []*node {
 	spec, need := &du.job.Spec, du.need
@@ -145,19 +125,19 @@
 		list, memo = s.open, &s.failed[1]
 	}
 	for _, f := range *memo {
-		if f.need.Within(need) && stricter(spec, f.spec) && (du.patient || !f.patient) {
+		if f.need.Within(need) && stricter(spec, f.spec) {
 			return nil
 		}
 	}
 	var out []*node
 	s.looks += len(list)
 	for _, n := range list {
-		if need.Within(n.free) && allowed(spec, n.m) && !(n.reserved && du.patient) {
+		if need.Within(n.free) && allowed(spec, n.m) {
 			out = append(out, n)
 		}
 	}
 	if out == nil && len(*memo) < tuning.FailedShapes {
-		*memo = append(*memo, failure{need, spec, du.patient})
+		*memo = append(*memo, failure{need, spec})
 	}
 	return out
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -207,9 +207,7 @@
 	}
 	p.world.RLock()
 	lead, leads := p.leads()
-	step := p.step(time.Now())
 	p.world.RUnlock()
-	p.engine.Reserve(step.room)
 	p.cloud.Lead(leads)
 	if !leads {
 		clear(p.idle)
--- /dev/null
+++ b/internal/pool/pool_test.go
@@ -0,0 +1,90 @@
+package pool
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sableusher/internal/config"
+	"sableusher/internal/place"
+	"sableusher/internal/tuning"
+	"sableusher/internal/wire"
+	"sableusher/internal/world"
+)
+
+var zones = []string{"east", "west"}
+
+func testPool(tb testing.TB) *Pool {
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	w := world.New(3, log)
+	w.Types["m"] = wire.MachineType{Name: "m", CPUs: 32, GPUs: 4, MemoryGB: 256, Price: 10, SpotPrice: 4, BootS: 30, Zones: zones}
+	op, err := config.LoadOperator("")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return New(&config.Settings{}, op, w, nil, nil, nil, nil, log)
+}
+
+// TestBinsHoldWhatWaits: the machines to be rented have room for everything that
+// found none, of kinds that the jobs may use, a gang's in one zone and a spread
+// job's in more than one; and not twice as many as are needed.
+func TestBinsHoldWhatWaits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := testPool(nil)
+		d := place.Demand{At: time.Now()}
+		gpus, ordinary, gangs := 0, 0, 0
+		for i := range rapid.IntRange(1, 12).Draw(t, "groups") {
+			s := &wire.Spec{ID: fmt.Sprintf("run-%d", i), Priority: wire.PriorityNormal, CPUs: 6, GPUs: 1, MemoryGB: 40}
+			s.Tasks = rapid.IntRange(1, 60).Draw(t, "tasks")
+			switch rapid.IntRange(0, 2).Draw(t, "kind") {
+			case 0:
+				s.Kind, s.Spot = wire.KindArray, true
+			case 1:
+				s.Kind, s.Spread = wire.KindService, true
+				ordinary += s.Tasks
+			case 2:
+				s.Kind, s.OneZone, s.GPUs = wire.KindGang, true, 4
+				ordinary += 4 * s.Tasks
+				gangs += s.Tasks
+			}
+			gpus += s.Tasks * int(s.GPUs)
+			d.Groups = append(d.Groups, place.Group{Spec: s, Count: s.Tasks, Zone: rapid.SampledFrom([]string{"", "west"}).Draw(t, "zone"), Since: time.Now()})
+		}
+		bins := p.bins(d)
+		room, plain := 0, 0
+		for _, b := range bins {
+			room += 4
+			if !b.spot {
+				plain += 4
+			}
+		}
+		if room < gpus || plain < ordinary {
+			t.Errorf("%d bins, %d GPUs ordinary, for %d GPUs, %d of them ordinary", len(bins), plain, gpus, ordinary)
+		}
+		if room > 2*gpus+4*len(d.Groups)+8 {
+			t.Errorf("%d GPUs rented for %d", room, gpus)
+		}
+	})
+}
+
+// TestRefusedZoneIsLeftForAnother: where a gang's zone has no more machines, all
+// of its room is rented in another, not only the rest of it.
+func TestRefusedZoneIsLeftForAnother(t *testing.T) {
+	p := testPool(t)
+	p.refused[kind{"m", "west", false}] = time.Now().Add(tuning.RefusedHold)
+	s := &wire.Spec{ID: "run-1", Kind: wire.KindGang, Priority: wire.PriorityHigh, Tasks: 8, CPUs: 28, GPUs: 4, MemoryGB: 200, OneZone: true}
+	n := 0
+	for _, b := range p.bins(place.Demand{Groups: []place.Group{{Spec: s, Count: 2, Zone: "west", Since: time.Now()}}, Spare: place.Spare{Room: 9, Whole: 9}, Spot: place.Spare{Room: 9}}) {
+		if b.zone != "east" {
+			t.Errorf("a machine in %s", b.zone)
+		}
+		n++
+	}
+	if n != 8 {
+		t.Errorf("%d machines, want 8", n)
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -55,6 +55,9 @@
 	// ChunkTasks is how many tasks one record holds: at about 50 bytes a task
 	// it stays below the smallest value limit seen (16 KiB as JSON).
 	ChunkTasks = 128
+	// LeastValueKB is the smallest value limit that a record of ChunkTasks tasks
+	// fits, measured as JSON: about 50 bytes a task and 1 KiB of description.
+	LeastValueKB = 8
 	// MaxTasks is the largest job of the protocol.
 	MaxTasks = 100_000
 	// MaxNameBytes bounds names in users' input.
@@ -205,15 +208,6 @@
 	JobBackoffMax = 60 * time.Second
 	// PreemptHold is how long room freed for a task is kept for it.
 	PreemptHold = 12 * time.Second
-	// GangPatience is how long a gang waits before room is gathered for it ahead of
-	// others and by stopping tasks of lower priority.
-	GangPatience = 45 * time.Second
-	// GangPatienceTask is added to it for each task: wide gangs are few, and narrow
-	// ones pass while room for them comes together.
-	GangPatienceTask = 500 * time.Millisecond
-	// GangNarrow is the most tasks of a gang for which free machines are kept while
-	// others come up for it.
-	GangNarrow = 4
 	// GangForm is how long a gang may take to be bound whole before it is withdrawn.
 	GangForm = 6 * time.Second
 	// GangFormTask is added to it for each task, as one round binds a part of a long gang.
