An outcome is waited for before a part is fenced; machine records need no fence

Lazy changes that ran out of time while their transaction was on its way counted as unknown; each fence failed all other changes on their way, which kept the budget full. Now the outcome of a transaction on its way is waited for, and a late change of a machine's record is left to that record's own guard.

--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -174,13 +174,13 @@
 
 // change is one change of records on its way.
 type change struct {
-	what   string
-	item   store.Item
-	keys   []string
-	parts  []int
-	binds  []bind
-	fenced bool
-	done   func(ok bool)
+	what  string
+	item  store.Item
+	keys  []string
+	parts []int
+	binds []bind
+	late  bool // harmless if it is applied late: its own record's guard decides
+	done  func(ok bool)
 }
 
 // bind is a task on its way to a machine.
@@ -239,7 +239,7 @@
 	cancel()
 	if errors.Is(err, store.ErrRefused) {
 		e.log.Error("change refused as malformed", "what", c.what, "err", err)
-	} else if err != nil && !errors.Is(err, store.ErrGuard) && !errors.Is(err, store.ErrUnavailable) {
+	} else if err != nil && !errors.Is(err, store.ErrGuard) && !errors.Is(err, store.ErrUnavailable) && !c.late {
 		e.log.Info("change without an answer", "what", c.what, "err", err)
 		for _, p := range c.parts {
 			e.member.Fence(e.ctx, p, false)
--- a/internal/place/settle.go
+++ b/internal/place/settle.go
@@ -475,7 +475,7 @@
 func (r *round) writeMachine(what, name string, part int, rec world.MachineRecord, stamp uint64) {
 	key := world.MachineKey(name)
 	r.out = append(r.out, &change{
-		what: what, keys: []string{key}, parts: []int{part},
+		what: what, keys: []string{key}, parts: []int{part}, late: true,
 		item: store.Item{
 			Guards: []wire.Guard{{Key: world.PartKey(part), Stamp: r.stamps[part]}, {Key: key, Stamp: stamp}},
 			Ops:    []wire.Op{store.Set(key, rec)},
--- a/internal/store/commit.go
+++ b/internal/store/commit.go
@@ -120,10 +120,13 @@
 		if i >= 0 {
 			return 0, ErrUnavailable
 		}
+		// Its transaction is on its way and answers soon as a rule: an unknown
+		// outcome is dear, as the part is fenced for it and all other changes on
+		// their way fail.
 		select {
 		case o := <-p.done:
 			return o.rev, o.err
-		default:
+		case <-time.After(tuning.StateTimeout):
 			return 0, ErrUnknown
 		}
 	}
