--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -58,6 +58,9 @@
 		WriteRPS float64 `toml:"write_rps"`
 		ValueKB  float64 `toml:"value_kb"`
 		TxnOps   int     `toml:"txn_ops"`
+		// Next holds the limits that the service will have from some moment on,
+		// without notice; nil if none are known.
+		Next *StateLimits `toml:"next"`
 	} `toml:"state"`
 	Cloud struct {
 		RPS      float64 `toml:"rps"`
@@ -70,6 +73,15 @@
 	} `toml:"machine_limits"`
 }
 
+// StateLimits are limits of the state service that are to come; 0 means that
+// one stays as it is.
+type StateLimits struct {
+	RPS      float64 `toml:"rps"`
+	WriteRPS float64 `toml:"write_rps"`
+	ValueKB  float64 `toml:"value_kb"`
+	TxnOps   int     `toml:"txn_ops"`
+}
+
 // Team has a guarantee and a limit; 0 means none.
 type Team struct {
 	Name    string  `toml:"name"`
@@ -178,6 +190,17 @@
 	num("deployment.state.write_rps", d.State.WriteRPS, 1, 1e7)
 	num("deployment.state.value_kb", d.State.ValueKB, tuning.LeastValueKB, 1<<20)
 	num("deployment.state.txn_ops", float64(d.State.TxnOps), 4, 1e6)
+	if n := d.State.Next; n != nil {
+		opt := func(name string, v, lo, hi float64) {
+			if v != 0 {
+				num("deployment.state.next."+name, v, lo, hi)
+			}
+		}
+		opt("rps", n.RPS, 1, 1e7)
+		opt("write_rps", n.WriteRPS, 1, 1e7)
+		opt("value_kb", n.ValueKB, tuning.LeastNextKB, 1<<20)
+		opt("txn_ops", float64(n.TxnOps), tuning.LeastTxnOps, 1e6)
+	}
 	num("deployment.cloud.rps", d.Cloud.RPS, 0.01, 1e6)
 	num("deployment.cloud.list_lag_s", d.Cloud.ListLagS, 0, 3600)
 	num("deployment.machine_limits.cpu_share", d.Limits.CPUShare, 0.01, 1024)
@@ -198,6 +221,27 @@
 	return errors.New(strings.Join(parts, "; "))
 }
 
+// NextState gives the state service's limits with those that are known to come:
+// the smaller of each.
+func (s *Settings) NextState() StateLimits {
+	d := &s.Deployment.State
+	l := StateLimits{RPS: d.RPS, WriteRPS: d.WriteRPS, ValueKB: d.ValueKB, TxnOps: d.TxnOps}
+	if n := d.Next; n != nil {
+		least(&l.RPS, n.RPS)
+		least(&l.WriteRPS, n.WriteRPS)
+		least(&l.ValueKB, n.ValueKB)
+		least(&l.TxnOps, n.TxnOps)
+	}
+	return l
+}
+
+// least lowers a limit to another one, unless that is not set.
+func least[T int | float64](v *T, next T) {
+	if next != 0 {
+		*v = min(*v, next)
+	}
+}
+
 // Nodes lists all nodes by name, in the order every node agrees on.
 func (s *Settings) Nodes() []string {
 	names := []string{s.Node}
--- /dev/null
+++ b/internal/intake/awaits.go
@@ -0,0 +1,94 @@
+package intake
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+
+	"sableusher/internal/store"
+	"sableusher/internal/tuning"
+	"sableusher/internal/wire"
+	"sableusher/internal/world"
+)
+
+// sameAwaits tells whether two submissions await the same jobs, in any order.
+func sameAwaits(a, b []string) bool {
+	return len(a) == len(b) && slices.Equal(slices.Sorted(slices.Values(a)), slices.Sorted(slices.Values(b)))
+}
+
+// lay chooses the layout of a new job's records; it says why if the job's
+// description is more than one record may hold, now or under the limits that are
+// known to come.
+func (in *Intake) lay(rec *world.JobRecord, level int) string {
+	bare := world.BareSize(*rec)
+	width := world.WidthFor(&rec.Spec, bare, in.commit.LeastRoom())
+	if width == 0 {
+		return "its description, awaits included, takes more than the state service holds in one record"
+	}
+	if level >= tuning.LevelPipelines && bare+rec.Spec.Tasks*tuning.TaskBytes > in.commit.LeastRoom() {
+		rec.Width = width
+	}
+	return ""
+}
+
+// awaits checks the jobs that a submission awaits: each must have been accepted,
+// by any node and any version. It answers the request if it may not go on.
+func (in *Intake) awaits(ctx context.Context, w http.ResponseWriter, spec *wire.Spec, level int) bool {
+	if level < tuning.LevelPipelines {
+		// A node that runs the version before would lose the field and start the job.
+		unavailable(w, "not all nodes know of awaited jobs yet")
+		return false
+	}
+	refuse := func(why string) bool {
+		wire.Reply(w, http.StatusUnprocessableEntity, wire.Problem{Error: why})
+		return false
+	}
+	if slices.Contains(spec.Awaits, spec.ID) {
+		return refuse("awaits itself")
+	}
+	var unseen []string
+	look := func() string {
+		unseen = unseen[:0]
+		in.world.RLock()
+		defer in.world.RUnlock()
+		for _, a := range spec.Awaits {
+			if j := in.world.Jobs[a]; j == nil || !j.Known {
+				unseen = append(unseen, a)
+			} else if j.Spec.Kind == wire.KindService {
+				return "awaits " + a + ", a service, which is never done"
+			}
+		}
+		return ""
+	}
+	if why := look(); why != "" {
+		return refuse(why)
+	}
+	if len(unseen) == 0 {
+		return true // what was accepted once stays so
+	}
+	// Those that this view does not hold may be newer than it, or over.
+	if in.view.Sync(ctx) != nil {
+		unavailable(w, "state service away")
+		return false
+	}
+	if why := look(); why != "" {
+		return refuse(why)
+	}
+	for _, a := range unseen {
+		if _, ok := in.final(a); ok {
+			continue
+		}
+		row, err := in.records.Get(ctx, world.FinalKey(a))
+		if errors.Is(err, store.ErrNotFound) {
+			return refuse("awaits " + a + ", which was never accepted")
+		}
+		var f world.FinalRecord
+		if err != nil || wire.Decode(row.Value, &f) != nil {
+			unavailable(w, "state service away")
+			return false
+		}
+		in.remember(a, f)
+	}
+	return true
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -31,6 +31,9 @@
 // Committer commits items.
 type Committer interface {
 	Do(ctx context.Context, it store.Item) (uint64, error)
+	// Room is what a record may take, LeastRoom under the limits known to come.
+	Room() int
+	LeastRoom() int
 }
 
 // View is the read barrier over the world.
@@ -143,9 +146,18 @@
 	in.world.RLock()
 	live := in.world.Jobs[spec.ID]
 	known := live != nil && live.Known
-	types := len(in.world.Types)
+	other := known && !sameAwaits(live.Spec.Awaits, spec.Awaits)
+	types, level := len(in.world.Types), in.world.Level
 	why := in.impossible(spec)
 	in.world.RUnlock()
+	if other {
+		wire.Reply(w, http.StatusUnprocessableEntity, wire.Problem{Error: "another job has this id: it awaits other jobs"})
+		return
+	}
+	rec := world.JobRecord{Spec: *spec, AtMs: time.Now().UnixMilli()}
+	if why == "" {
+		why = in.lay(&rec, level)
+	}
 	if !known {
 		// A job that is known stands, whatever the repeated request says now.
 		if why != "" {
@@ -163,7 +175,9 @@
 			unavailable(w, "machine types not known yet")
 			return
 		}
-		rec := world.JobRecord{Spec: *spec, AtMs: time.Now().UnixMilli()}
+		if len(spec.Awaits) > 0 && !in.awaits(ctx, w, spec, level) {
+			return
+		}
 		key := world.JobKey(spec.ID)
 		_, err := in.commit.Do(ctx, store.Item{
 			Guards: []wire.Guard{{Key: key}, {Key: world.FinalKey(spec.ID)}},
@@ -251,8 +265,11 @@
 	}
 	in.world.RLock()
 	if j := in.world.Jobs[id]; j != nil && j.Known {
-		st := live(id, j)
+		st, undecided := live(id, j), in.world.Undecided(j)
 		in.world.RUnlock()
+		if undecided && st.Status != wire.JobCancelled {
+			return wire.Status{}, errUndecided
+		}
 		return st, nil
 	}
 	in.world.RUnlock()
@@ -269,6 +286,10 @@
 	return finalStatus(id, f), nil
 }
 
+// errUndecided: the job falls with one that it needs, or may; until its own
+// record says so it must not be called waiting.
+var errUndecided = errors.New("what it awaits is being looked at")
+
 func live(id string, j *world.Job) wire.Status {
 	st := wire.Status{ID: id, Status: wire.JobPending, Done: j.Done, Running: j.Bound}
 	switch {
@@ -356,6 +377,12 @@
 	}
 	marked := *j
 	marked.CancelMs = max(time.Now().UnixMilli(), 1)
-	key, raw := marked.Encode(0, nil)
-	return store.Item{Guards: []wire.Guard{{Key: key, Stamp: j.Stamp}}, Ops: []wire.Op{{Set: key, Value: raw}}, Urgent: true}, true
+	if room := in.commit.Room(); in.world.Level >= tuning.LevelPipelines && j.Outgrows(room) {
+		// The record as it is could be too large to be written again.
+		if guards, ops, ok := marked.Move(room, 0); ok {
+			return store.Item{Guards: guards, Ops: ops, Urgent: true}, true
+		}
+	}
+	op := marked.Encode(0, nil)
+	return store.Item{Guards: []wire.Guard{{Key: op.Set, Stamp: j.Stamp}}, Ops: []wire.Op{op}, Urgent: true}, true
 }
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -41,6 +41,9 @@
 	return 1, o.doErr
 }
 
+func (o *outside) Room() int      { return 1700 }
+func (o *outside) LeastRoom() int { return 1700 }
+
 func (o *outside) Sync(context.Context) error {
 	o.syncs++
 	if o.barrier != nil {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -79,7 +79,7 @@
 			continue
 		}
 		if err == nil && !registered {
-			op := store.Set(world.NodeKey(m.Self), world.NodeRecord{Inc: m.Inc})
+			op := store.Set(world.NodeKey(m.Self), world.NodeRecord{Inc: m.Inc, Level: tuning.Level})
 			op.Hold = hold
 			_, err = m.commit.Do(ctx, store.Item{Ops: []wire.Op{op}, Urgent: true})
 			if errors.Is(err, store.ErrRefused) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,10 +13,12 @@
 	"sableusher/internal/intake"
 	"sableusher/internal/member"
 	"sableusher/internal/peer"
+	"sableusher/internal/pipeline"
 	"sableusher/internal/place"
 	"sableusher/internal/pool"
 	"sableusher/internal/store"
 	"sableusher/internal/tuning"
+	"sableusher/internal/upgrade"
 	"sableusher/internal/wire"
 	"sableusher/internal/world"
 )
@@ -41,6 +43,8 @@
 	client := store.NewClient(set.Outside.State, store.Limits{
 		Share: tuning.StateShare / float64(d.Size), RPS: d.State.RPS, WriteRPS: d.State.WriteRPS, ValueKB: d.State.ValueKB, TxnOps: d.State.TxnOps,
 	}, rt)
+	next := set.NextState()
+	client.Expect(store.Limits{RPS: next.RPS, WriteRPS: next.WriteRPS, ValueKB: next.ValueKB, TxnOps: next.TxnOps})
 	view := world.New(d.Size, log)
 	cache := store.NewCache(client, world.Root, view, log)
 	commit := store.NewCommitter(client, func(ops []wire.Op, rev uint64) { cache.Local(ops, rev) })
@@ -53,9 +57,11 @@
 	engine := place.New(set, op, view, members, workers, commit, client, peers, log)
 	cloud := pool.NewCloud(set.Outside.Cloud, d.Cloud.RPS, d.Size, rt)
 	machines := pool.New(set, op, view, members, engine, cloud, commit, log)
+	outcomes := pipeline.New(view, client, log)
+	levels := upgrade.New(set, view, members, commit, client, log)
 	users := intake.New(set, view, client, commit, cache, workers, log)
 	return &Node{handler: users.Handler(), runs: []func(context.Context) error{
-		cache.Run, commit.Run, members.Run, workers.Run, engine.Run, engine.Learn, engine.Hints, machines.Run, peers.Run,
+		cache.Run, commit.Run, members.Run, workers.Run, engine.Run, engine.Learn, engine.Hints, machines.Run, peers.Run, outcomes.Run, levels.Run,
 	}}, nil
 }
 
--- /dev/null
+++ b/internal/place/doom.go
@@ -0,0 +1,83 @@
+package place
+
+import (
+	"time"
+
+	"sableusher/internal/store"
+	"sableusher/internal/tuning"
+	"sableusher/internal/wire"
+	"sableusher/internal/world"
+)
+
+// doom ends the jobs that fall with one that they need. Such a job never had a
+// task, so one change turns its record into the final one. The cause is in the
+// records of what it needs: whoever owns its part can go on from those alone, and
+// where that owner does not, any node does.
+func (r *round) doom() {
+	n := 0
+	for id := range r.world.Doomed() {
+		j := r.world.Jobs[id]
+		key := world.JobKey(id)
+		if j == nil || r.busy[key] || n >= tuning.DoomRound {
+			continue
+		}
+		if _, mine := r.tokens[r.first(j)]; !mine && r.now.Sub(j.DoomAt) < tuning.DoomPatience {
+			continue
+		}
+		n++
+		r.out = append(r.out, &change{what: "end " + id + " with what it needs", keys: []string{key}, late: true, item: store.Item{
+			Guards: []wire.Guard{{Key: key, Stamp: j.Stamp}}, Ops: r.final(j, wire.JobCancelled, j.Done), Urgent: true,
+		}})
+		r.log.Info("job cancelled with one that it needs", "job", id)
+	}
+}
+
+// moveRecords brings old records that could outgrow the state service's limit into
+// the new form: those that are waited for at once, the others in paced steps while
+// the budget is free.
+func (r *round) moveRecords() {
+	if r.world.Level < tuning.LevelPipelines {
+		return
+	}
+	room, n := r.commit.Room(), 0
+	move := func(id string) {
+		delete(r.moves, id)
+		j := r.world.Jobs[id]
+		if j == nil || !j.Known || !j.Outgrows(room) || r.busy[world.JobKey(id)] || n >= tuning.MoveRound {
+			return
+		}
+		for k := range j.Chunks {
+			if ed := r.edits[editKey{j, k}]; ed != nil && len(ed.tasks) > 0 || r.busy[j.Key(k)] {
+				return
+			}
+		}
+		guards, ops, ok := j.Move(room, tuning.MoveRound)
+		if !ok || len(ops) > r.commit.TxnOps() {
+			r.waiting(j, "its records can't be split far enough", nil)
+			return
+		}
+		n++
+		c := &change{what: "move records of " + id, late: true, item: store.Item{Guards: guards, Ops: ops}}
+		for _, g := range guards {
+			c.keys = append(c.keys, g.Key)
+		}
+		r.out = append(r.out, c)
+	}
+	for id := range r.moves {
+		move(id)
+	}
+	if r.now.Sub(r.movedAt) < tuning.MoveGap || r.commit.Waiting() >= tuning.PressedItems {
+		return
+	}
+	r.movedAt = r.now
+	for id, j := range r.world.Jobs {
+		if n >= tuning.MoveRound {
+			break
+		}
+		if j.Known && j.Outgrows(room) && r.now.Sub(time.UnixMilli(j.AtMs)) > tuning.MoveGap {
+			if _, mine := r.tokens[r.first(j)]; mine {
+				move(id)
+			}
+		}
+	}
+}
--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -61,6 +61,8 @@
 	vetoes    map[string]veto            // silent machines, by what the peers said
 	hints     map[string]map[string]bool // the other nodes' machines by image
 	again     chan struct{}
+	moves     map[string]bool // jobs whose records are to be moved before they are written
+	movedAt   time.Time       // when records that nothing asked for were last moved
 }
 
 // Peers asks the other nodes which workers they have heard from.
@@ -105,7 +107,7 @@
 		set: set, op: op, world: w, member: m, fleet: f, commit: c, quota: quota.New(set.Deployment.Teams, w), log: log,
 		busy: map[string]bool{}, moving: map[uint64]*change{}, backoff: map[string]retry{}, waits: map[string]wait{}, look: map[string]struct{}{}, valued: map[string]valued{},
 		forming: map[string]time.Time{}, told: map[string]time.Time{}, held: map[string]reserve{}, owned: map[int]time.Time{}, gone: map[string]bool{},
-		fenced: map[int]time.Time{}, reader: reader, peers: peers, vetoes: map[string]veto{},
+		moves: map[string]bool{}, fenced: map[int]time.Time{}, reader: reader, peers: peers, vetoes: map[string]veto{},
 		values: values{
 			learner: learn.New(op.LearnRate, op.Discount, op.Exploration, op.ColdPayoffs, m.Inc, log),
 			runs:    learn.NewEstimates(), open: map[attempt]int64{}, began: map[attempt]time.Time{}, recent: 0.5,
@@ -215,6 +217,8 @@
 	r.settle()
 	r.place()
 	r.flush()
+	r.moveRecords()
+	r.doom()
 	for _, q := range e.quota.Review(now, r.stamps, r.use) {
 		c := &change{what: "grant", item: q.Item, parts: []int{q.Part}, done: func(bool) { q.Done() }}
 		r.out = append(r.out, c)
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -60,13 +60,13 @@
 	r.assuredAt, r.assured = r.now, map[string]bool{}
 	teams := map[string][]*world.Job{}
 	for _, j := range r.world.Jobs {
-		if _, ok := r.quota.Guarantee(j.Spec.Team); ok && j.Known && !j.Cancelled() {
+		if _, ok := r.quota.Guarantee(j.Spec.Team); ok && j.Known && !j.Cancelled() && !j.Waits() {
 			teams[j.Spec.Team] = append(teams[j.Spec.Team], j)
 		}
 	}
 	for team, jobs := range teams {
 		slices.SortFunc(jobs, func(a, b *world.Job) int {
-			return cmp.Or(cmp.Compare(a.AtMs, b.AtMs), cmp.Compare(a.Spec.ID, b.Spec.ID))
+			return cmp.Or(cmp.Compare(a.SinceMs(), b.SinceMs()), cmp.Compare(a.Spec.ID, b.Spec.ID))
 		})
 		limit, _ := r.quota.Guarantee(team)
 		var sum world.Amount
@@ -84,7 +84,7 @@
 func (r *round) queue(room bool) []due {
 	var out []due
 	for id, j := range r.world.Jobs {
-		if !j.Known || j.Cancelled() || j.Pending() == 0 {
+		if !j.Known || j.Cancelled() || j.Pending() == 0 || j.Waits() {
 			continue
 		}
 		if b, ok := r.backoff[id]; ok && r.now.Before(b.until) {
@@ -116,17 +116,18 @@
 // say: the next such time that can still be met, else the last. It is pressing
 // when little slack is left.
 func (r *round) deadline(j *world.Job) (time.Time, bool) {
-	at := time.UnixMilli(j.AtMs)
+	// A deadline counts from the submission, all else from when the job could start.
+	sent, at := time.UnixMilli(j.AtMs), j.Since()
 	run := config.Seconds(r.values.runs.RunS(j.Spec.Class, j.Spec.EstimateS))
 	var aims []time.Time
 	if j.Spec.DeadlineS > 0 {
-		aims = append(aims, at.Add(config.Seconds(j.Spec.DeadlineS)))
+		aims = append(aims, sent.Add(config.Seconds(j.Spec.DeadlineS)))
 	}
 	for _, o := range r.set.Deployment.Objectives {
 		switch {
 		case o.Class != j.Spec.Class:
 		case o.Kind == "deadline" && j.Spec.DeadlineS > 0 && o.Times > 0:
-			aims = append(aims, at.Add(config.Seconds(j.Spec.DeadlineS*o.Times)))
+			aims = append(aims, sent.Add(config.Seconds(j.Spec.DeadlineS*o.Times)))
 		case o.Kind == "wait" && o.WithinS > 0:
 			aims = append(aims, at.Add(config.Seconds(o.WithinS)+run))
 		case o.WithinS > 0:
@@ -157,8 +158,8 @@
 func (r *round) zones(j *world.Job, k int) zones {
 	z := zones{count: map[string]int{}, known: true, limit: math.MaxInt}
 	if j.Spec.Spread {
-		n := min(tuning.ChunkTasks, j.Spec.Tasks-k*tuning.ChunkTasks)
-		z.limit = (n + 1) / 2
+		lo, hi := j.Span(k)
+		z.limit = (hi - lo + 1) / 2
 	}
 	if !j.Spec.Spread && !j.Spec.OneZone {
 		return z
@@ -176,7 +177,7 @@
 		if j.Spec.OneZone {
 			z.pin = m.Zone
 		}
-		if i/tuning.ChunkTasks == k {
+		if j.RecordOf(i) == k {
 			z.count[m.Zone]++
 		}
 	}
@@ -259,7 +260,7 @@
 			du.left = n
 			if spec.Kind == wire.KindGang {
 				du.left = 0
-				if r.now.Sub(time.UnixMilli(j.AtMs)) > tuning.StarveAfter {
+				if r.now.Sub(j.Since()) > tuning.StarveAfter {
 					total[spec.Team] = limit // narrower ones would keep a wide one out for ever
 				}
 			}
@@ -317,7 +318,7 @@
 	if !j.Spec.Spread {
 		return 0
 	}
-	for k := range world.Chunks(j.Spec.Tasks) {
+	for k := range j.Records() {
 		if !j.Settled(k) {
 			return k
 		}
@@ -362,7 +363,7 @@
 	short := du.left
 	r.choose(du, coming, &z, nil)
 	if du.left > 0 {
-		d.Groups = append(d.Groups, Group{Spec: spec, Count: du.left, Zone: z.pin, Since: time.UnixMilli(j.AtMs)})
+		d.Groups = append(d.Groups, Group{Spec: spec, Count: du.left, Zone: z.pin, Since: j.Since()})
 	}
 	if (du.assured || du.rank <= wire.Rank(wire.PriorityHigh)) && (!gang || spec.Tasks == 1) {
 		for i := range min(short, tuning.PreemptTasks) {
@@ -531,20 +532,27 @@
 	if du.later {
 		return
 	}
-	looked, end := 0, spec.Tasks
-	if spec.Spread {
-		end = min(end, (chunk+1)*tuning.ChunkTasks)
+	looked := 0
+	start, end := j.Span(chunk)
+	if !spec.Spread {
+		end = spec.Tasks
 	}
-	for i := chunk * tuning.ChunkTasks; i < end && len(picks) > 0 && looked < tuning.JobSlice; i++ {
-		k := i / tuning.ChunkTasks
-		if i%tuning.ChunkTasks == 0 && (j.Settled(k) || r.busy[recordKey(j, k)]) {
-			i += tuning.ChunkTasks - 1 // nothing waits in this record, or it can't be changed now
+	for i := start; i < end && len(picks) > 0 && looked < tuning.JobSlice; i++ {
+		k := j.RecordOf(i)
+		lo, hi := j.Span(k)
+		if i == lo && (j.Settled(k) || r.busy[j.Key(k)]) {
+			i = hi - 1 // nothing waits in this record, or it can't be changed now
 			continue
 		}
 		t := r.task(j, i)
 		if t.State != world.Idle {
 			continue
 		}
+		if r.full(j, k, picks[0].m.Name) {
+			r.waiting(j, "its record is full", nil)
+			i = hi - 1
+			continue
+		}
 		looked++
 		n := picks[0]
 		part := charge
@@ -563,6 +571,11 @@
 func (r *round) bind(du *due, i int, attempt uint64, n *node, charge int) bool {
 	j := du.job
 	team := j.Spec.Team
+	if j.Waits() {
+		// Every way to a machine comes through here: queues may err, this may not.
+		r.log.Error("a job that waits for others was about to start", "job", j.Spec.ID)
+		return false
+	}
 	if j.Spec.Kind != wire.KindGang && r.bound >= tuning.RoundTasks || !r.quota.Allowed(charge, team, r.use(charge, team).Plus(du.need, 1)) {
 		r.waiting(j, "its team's grant in this part, or the round is full", n)
 		return false
@@ -584,6 +597,7 @@
 	ed.tasks[i] = t
 	ed.parts[charge] = true
 	ed.parts[n.m.Part] = true
+	ed.size += len(n.m.Name) + tuning.TaskBytes/2
 	b := bind{ref, n.m.Name, charge, team, du.need}
 	ed.binds = append(ed.binds, b)
 	r.move(b)
@@ -618,7 +632,7 @@
 		}
 	}
 	du.left = len(idle)
-	if r.busy[world.JobKey(spec.ID)] || forming && slices.ContainsFunc(idle, func(i int) bool { return r.task(j, i).Attempt >= attempt }) {
+	if r.busy[world.JobKey(spec.ID)] || r.outgrown(j) || forming && slices.ContainsFunc(idle, func(i int) bool { return r.task(j, i).Attempt >= attempt }) {
 		r.waiting(j, "its last attempt has not left yet, or a change is on its way", nil)
 		du.left = 0
 		return
@@ -652,7 +666,11 @@
 	if !mine || r.bound+len(picks) > tuning.RoundTasks && r.bound > 0 {
 		return
 	}
-	// All or nothing: the grant must cover it whole.
+	// All or nothing: the grant must cover it whole, and its records must hold it.
+	if slices.ContainsFunc(idle, func(i int) bool { return r.full(j, j.RecordOf(i), picks[0].m.Name) }) {
+		r.waiting(j, "its records are full", nil)
+		return
+	}
 	if !r.quota.Allowed(du.home, spec.Team, r.use(du.home, spec.Team).Plus(du.need, float64(len(picks)))) {
 		r.waiting(j, "its team's grant in this part", nil)
 		return
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -58,7 +58,7 @@
 		d.Teams = []config.Team{{Name: "t"}}
 		d.Workers.ReportS, d.Workers.LeaseS, d.Workers.CancelS = 8, 45, 65
 		d.State.TxnOps = 32
-		client := store.NewClient("127.0.0.1:1", store.Limits{RPS: 1, WriteRPS: 1, TxnOps: 32}, nil)
+		client := store.NewClient("127.0.0.1:1", store.Limits{RPS: 1, WriteRPS: 1, ValueKB: 16, TxnOps: 32}, nil)
 		commit := store.NewCommitter(client, func([]wire.Op, uint64) {})
 		cache := store.NewCache(client, world.Root, f.world, log)
 		m := member.New(n, 1, nodes, client, commit, cache, f.world, log)
--- a/internal/place/settle.go
+++ b/internal/place/settle.go
@@ -55,6 +55,7 @@
 	tasks map[int]world.Task
 	parts map[int]bool
 	binds []bind
+	size  int // what the record takes, as JSON; 0: not measured yet
 }
 
 func (e *Engine) newRound(now time.Time) *round {
@@ -96,18 +97,11 @@
 	return r.world.Usage[part][team].Plus(r.moveP[part][team], 1)
 }
 
-func recordKey(j *world.Job, k int) string {
-	if k == 0 {
-		return world.JobKey(j.Spec.ID)
-	}
-	return world.ChunkKey(j.Spec.ID, k)
-}
-
-// edit opens the record that holds a task; nil while a change of it is on its way.
+// edit opens the record that holds a task; nil while a change of it is on its
+// way, or while it has to be moved first.
 func (r *round) edit(j *world.Job, task int) *edit {
-	k := task / tuning.ChunkTasks
-	key := recordKey(j, k)
-	if r.busy[key] || k > 0 && r.busy[recordKey(j, 0)] && j.Spec.OneZone {
+	k := j.RecordOf(task)
+	if r.busy[j.Key(k)] || k > 0 && r.busy[j.Key(0)] && j.Spec.OneZone || r.outgrown(j) {
 		return nil
 	}
 	ed := r.edits[editKey{j, k}]
@@ -118,9 +112,41 @@
 	return ed
 }
 
+// outgrown tells whether a job's records have to be moved before they are written
+// again, and asks for it.
+func (r *round) outgrown(j *world.Job) bool {
+	if r.world.Level < tuning.LevelPipelines || !j.Outgrows(r.commit.Room()) {
+		return false
+	}
+	r.moves[j.Spec.ID] = true
+	return true
+}
+
+// full tells whether a record has no room for one more bound task. Without the
+// check a state service with a small limit would refuse the record over and over.
+func (r *round) full(j *world.Job, k int, machine string) bool {
+	room := r.commit.Room()
+	if j.Bare+j.Spec.Tasks*tuning.TaskBytes <= room {
+		return false
+	}
+	ed := r.edits[editKey{j, k}]
+	if ed != nil && ed.size > 0 {
+		return ed.size+len(machine)+tuning.TaskBytes/2 > room
+	}
+	var change map[int]world.Task
+	if ed != nil {
+		change = ed.tasks
+	}
+	size := j.Size(k, change)
+	if ed != nil {
+		ed.size = size
+	}
+	return size+len(machine)+tuning.TaskBytes/2 > room
+}
+
 // task is a task's state with this round's changes.
 func (r *round) task(j *world.Job, i int) world.Task {
-	if ed := r.edits[editKey{j, i / tuning.ChunkTasks}]; ed != nil {
+	if ed := r.edits[editKey{j, j.RecordOf(i)}]; ed != nil {
 		if t, ok := ed.tasks[i]; ok {
 			return t
 		}
@@ -325,9 +351,16 @@
 		store.Set(world.FinalKey(id), world.FinalRecord{Status: status, Tasks: j.Spec.Tasks, Done: done, AtMs: r.now.UnixMilli()}),
 		store.Drop(world.JobKey(id)),
 	}
-	for k := 1; k < len(j.Chunks) && len(ops) < r.set.Deployment.State.TxnOps; k++ {
-		if j.Chunks[k].Stamp != 0 {
-			ops = append(ops, store.Drop(world.ChunkKey(id, k)))
+	return append(ops, r.drops(j, len(ops))...)
+}
+
+// drops removes as many of a job's further records as a transaction with so many
+// changes has room for; what stays is swept later.
+func (r *round) drops(j *world.Job, has int) []wire.Op {
+	var ops []wire.Op
+	for _, key := range j.Further() {
+		if has+len(ops) < r.commit.TxnOps() {
+			ops = append(ops, store.Drop(key))
 		}
 	}
 	return ops
@@ -349,12 +382,7 @@
 		guard := wire.Guard{Key: key, Stamp: j.Stamp}
 		switch {
 		case !j.Known:
-			for k := range j.Chunks {
-				if j.Chunks[k].Stamp != 0 && len(ops) < r.set.Deployment.State.TxnOps {
-					ops = append(ops, store.Drop(world.ChunkKey(id, k)))
-				}
-			}
-			guard.Stamp = 0
+			ops, guard.Stamp = r.drops(j, 0), 0
 		case j.Done == j.Spec.Tasks:
 			ops = r.final(j, wire.JobDone, j.Done)
 		// No task can be bound after the cancellation, and the view holds all before it.
@@ -377,7 +405,7 @@
 	}
 	for id, eds := range byJob {
 		j := eds[0].job
-		if j.Spec.Kind == wire.KindGang && len(eds) > 1 && len(eds) <= tuning.GangRecords {
+		if j.Spec.Kind == wire.KindGang && len(eds) > 1 && len(eds) <= r.together(j) {
 			// A gang's tasks are bound together. One too long for a transaction is
 			// bound record by record and withdrawn if it does not become whole.
 			r.emit(id, j, eds)
@@ -389,6 +417,15 @@
 	}
 }
 
+// together is how many records of a job one transaction may write, with the job's
+// own beside them.
+func (r *round) together(j *world.Job) int {
+	if j.Width == 0 {
+		return min(tuning.GangRecords, r.commit.TxnOps()-1)
+	}
+	return min(tuning.TxnBytes/max(r.commit.Room(), 1), r.commit.TxnOps()-1)
+}
+
 func (r *round) emit(id string, j *world.Job, eds []*edit) {
 	c := &change{what: "tasks of " + id}
 	parts, done, bound, touched := map[int]bool{}, j.Done, j.Bound, false
@@ -412,23 +449,25 @@
 		for _, g := range j.ChunkGuards(ed.k) {
 			guards[g.Key] = g.Stamp
 		}
-		key, raw := j.Encode(ed.k, ed.tasks)
-		c.item.Ops = append(c.item.Ops, wire.Op{Set: key, Value: raw})
-		c.keys = append(c.keys, key)
+		op := j.Encode(ed.k, ed.tasks)
+		c.item.Ops = append(c.item.Ops, op)
+		c.keys = append(c.keys, op.Set)
 		c.binds = append(c.binds, ed.binds...)
 		touched = touched || ed.k == 0
 	}
-	single := len(j.Chunks) <= 1 && world.Chunks(j.Spec.Tasks) == 1
+	single := len(j.Further()) == 0 && j.Records() == 1
 	switch {
+	// A job in several records is ended with its last task too, if that is one more
+	// change: what is left of them goes with it.
 	case single && done == j.Spec.Tasks:
 		c.item.Ops = r.final(j, wire.JobDone, done)
 	case single && j.Cancelled() && bound == 0:
 		c.item.Ops = r.final(j, wire.JobCancelled, done)
 	case !single && j.Spec.OneZone && !touched && len(c.binds) > 0:
 		// Bindings of different records must not choose different zones at once.
-		key, raw := j.Encode(0, nil)
-		c.item.Ops = append(c.item.Ops, wire.Op{Set: key, Value: raw})
-		c.keys = append(c.keys, key)
+		op := j.Encode(0, nil)
+		c.item.Ops = append(c.item.Ops, op)
+		c.keys = append(c.keys, op.Set)
 	}
 	for _, p := range slices.Sorted(maps.Keys(parts)) {
 		if stamp, mine := r.stamps[p]; mine {
@@ -590,18 +629,18 @@
 // gang's saves must begin.
 func (r *round) yield(b world.Binding, m *world.Machine) {
 	key := world.JobKey(b.Ref.Job)
-	if b.Job.Yield == b.Attempt || r.busy[key] || r.edits[editKey{b.Job, 0}] != nil {
+	if b.Job.Yield == b.Attempt || r.busy[key] || r.edits[editKey{b.Job, 0}] != nil || r.outgrown(b.Job) {
 		return
 	}
 	r.busy[key] = true
 	marked := *b.Job
 	marked.Yield = b.Attempt
-	_, raw := marked.Encode(0, nil)
+	op := marked.Encode(0, nil)
 	r.out = append(r.out, &change{
 		what: "stop gang " + b.Ref.Job, keys: []string{key}, parts: []int{m.Part},
 		item: store.Item{
 			Guards: []wire.Guard{{Key: key, Stamp: b.Job.Stamp}, {Key: world.PartKey(m.Part), Stamp: r.stamps[m.Part]}},
-			Ops:    []wire.Op{{Set: key, Value: raw}}, Urgent: true,
+			Ops:    []wire.Op{op}, Urgent: true,
 		},
 	})
 }
--- a/internal/place/value.go
+++ b/internal/place/value.go
@@ -81,7 +81,7 @@
 		r.values.began[k] = t.Since
 	}
 	if id, ok := r.values.open[k]; ok && b.Job.Spec.Kind == wire.KindService && r.now.Sub(t.Since) > tuning.ServicePayoff {
-		waited := t.Since.Sub(time.UnixMilli(b.Job.AtMs)).Seconds()
+		waited := t.Since.Sub(b.Job.Since()).Seconds()
 		ran := tuning.ServicePayoff.Seconds()
 		r.pay(id, k, ran/(ran+max(0, waited)))
 	}
@@ -98,7 +98,7 @@
 	responsiveness := 0.0
 	if done && ran {
 		run := r.now.Sub(began).Seconds()
-		total := max(run, r.now.Sub(time.UnixMilli(b.Job.AtMs)).Seconds())
+		total := max(run, r.now.Sub(b.Job.Since()).Seconds())
 		if total > 0 {
 			responsiveness = run / total
 		}
@@ -130,7 +130,7 @@
 	s := learn.State{Shares: map[string]float64{}, NextFreeS: math.Inf(1)}
 	waiting := 0.0
 	for _, j := range r.world.Jobs {
-		if !j.Known || j.Cancelled() {
+		if !j.Known || j.Cancelled() || j.Waits() {
 			continue
 		}
 		run := r.values.runs.RunS(j.Spec.Class, j.Spec.EstimateS)
@@ -169,7 +169,7 @@
 		return cmp.Or(cmp.Compare(a.rank, b.rank), -compareBool(a.assured, b.assured), -compareBool(a.pressing, b.pressing))
 	}
 	slices.SortFunc(list, func(a, b due) int {
-		return cmp.Or(guarded(a, b), a.deadline.Compare(b.deadline), cmp.Compare(a.job.AtMs, b.job.AtMs), cmp.Compare(a.job.Spec.ID, b.job.Spec.ID))
+		return cmp.Or(guarded(a, b), a.deadline.Compare(b.deadline), cmp.Compare(a.job.SinceMs(), b.job.SinceMs()), cmp.Compare(a.job.Spec.ID, b.job.Spec.ID))
 	})
 	warm := room && r.op.Learn && len(list) > 0 && r.values.learner.Warm()
 	if warm {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -331,10 +331,10 @@
 // apart, as none can use the room kept for another. Callers hold the world's lock.
 func (p *Pool) step(now time.Time) step {
 	for id, j := range p.world.Jobs {
-		if _, ok := p.arrived[id]; ok || !j.Known {
+		if _, ok := p.arrived[id]; ok || !j.Known || j.Waits() {
 			continue
 		}
-		at := time.UnixMilli(j.AtMs)
+		at := j.Since()
 		if now.Sub(at) > tuning.ArrivalWindow {
 			continue
 		}
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"sync"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -48,10 +49,16 @@
 type Client struct {
 	base   string
 	http   *http.Client
-	limits Limits
 	reqs   *rate.Limiter
 	urgent *rate.Limiter
 	writes *rate.Limiter
+
+	mu     sync.Mutex
+	limits Limits  // as of now
+	next   Limits  // those that are known to come, at most as large
+	share  float64 // of the whole budget
+	slow   float64 // of the share: lowered by refusals, back to 1 in time
+	paced  time.Time
 }
 
 // NewClient makes a client of the service at addr.
@@ -60,7 +67,7 @@
 		rt = wire.Transport(tuning.StateTimeout, tuning.IdleConns, tuning.IdleConns)
 	}
 	c := &Client{
-		base: "http://" + addr, http: &http.Client{Transport: rt}, limits: l,
+		base: "http://" + addr, http: &http.Client{Transport: rt}, limits: l, next: l, slow: 1,
 		reqs: rate.NewLimiter(0, 0), urgent: rate.NewLimiter(0, 0), writes: rate.NewLimiter(0, 0),
 	}
 	if l.Share == 0 {
@@ -70,8 +77,71 @@
 	return c
 }
 
+// Expect tells the limits that the service will have from some moment on. Small
+// transactions are taken by any service and read by any version, so they are kept
+// to at once; records and rates follow with Lower.
+func (c *Client) Expect(next Limits) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.next = next
+	c.limits.TxnOps = min(c.limits.TxnOps, next.TxnOps)
+}
+
+// Lower keeps to the limits that are known to come from now on.
+func (c *Client) Lower() {
+	c.mu.Lock()
+	c.limits.RPS, c.limits.WriteRPS, c.limits.ValueKB = min(c.limits.RPS, c.next.RPS), min(c.limits.WriteRPS, c.next.WriteRPS), min(c.limits.ValueKB, c.next.ValueKB)
+	share := c.share
+	c.mu.Unlock()
+	c.SetShare(share)
+}
+
+// TxnOps is how many changes a transaction may make.
+func (c *Client) TxnOps() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.limits.TxnOps
+}
+
+// Room is what a record may take, in bytes of its JSON form.
+func (c *Client) Room() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return int(c.limits.ValueKB * 1024 * tuning.JSONShare)
+}
+
+// LeastRoom is Room under the limits that are known to come: what is accepted
+// must be held then too.
+func (c *Client) LeastRoom() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return int(min(c.limits.ValueKB, c.next.ValueKB) * 1024 * tuning.JSONShare)
+}
+
+// refused lowers the pace of writes after a 429; each node that is refused does.
+// It comes back by itself, so that a service that only had a bad second is used
+// whole again.
+func (c *Client) refused() {
+	c.mu.Lock()
+	now := time.Now()
+	if now.Sub(c.paced) < tuning.PaceHold {
+		c.mu.Unlock()
+		return
+	}
+	c.slow, c.paced = max(c.slow*tuning.PaceCut, tuning.PaceLeast), now
+	share := c.share
+	c.mu.Unlock()
+	c.SetShare(share)
+}
+
 // SetShare sets the share of the service's budget that this node uses.
 func (c *Client) SetShare(share float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.share = share
+	if c.slow < 1 && time.Since(c.paced) > tuning.PaceHold {
+		c.slow, c.paced = min(1, c.slow+tuning.PaceBack), time.Now()
+	}
 	l := &c.limits
 	set := func(lim *rate.Limiter, limit float64, burst int) {
 		if lim.Limit() != rate.Limit(limit) {
@@ -79,7 +149,7 @@
 			lim.SetBurst(burst)
 		}
 	}
-	reqs, writes := l.RPS*share, l.WriteRPS*share
+	reqs, writes := l.RPS*share, l.WriteRPS*share*c.slow
 	set(c.reqs, reqs*(1-tuning.UrgentShare), max(int(reqs/2), 4))
 	set(c.urgent, reqs*tuning.UrgentShare, max(int(reqs*tuning.UrgentShare), 4))
 	set(c.writes, writes, max(int(writes), l.TxnOps))
@@ -153,7 +223,10 @@
 			}
 		}
 		return http.StatusOK, b, nil
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+	case http.StatusTooManyRequests:
+		c.refused()
+		return resp.StatusCode, b, ErrUnavailable
+	case http.StatusServiceUnavailable:
 		return resp.StatusCode, b, ErrUnavailable
 	}
 	return resp.StatusCode, b, nil
--- a/internal/store/commit.go
+++ b/internal/store/commit.go
@@ -132,6 +132,16 @@
 	}
 }
 
+// TxnOps is how many changes one item may make.
+func (c *Committer) TxnOps() int { return c.client.TxnOps() }
+
+// Room is what a record may take, in bytes of its JSON form; LeastRoom under the
+// limits that are known to come.
+func (c *Committer) Room() int { return c.client.Room() }
+
+// LeastRoom is Room under the limits that are known to come.
+func (c *Committer) LeastRoom() int { return c.client.LeastRoom() }
+
 // Waiting is how many changes wait for the budget.
 func (c *Committer) Waiting() int {
 	c.mu.Lock()
@@ -192,7 +202,8 @@
 // take removes a batch from the queue that fits one transaction, writes no more
 // than the budget allows (but one item at least) and touches no key twice.
 func (c *Committer) take(most int) []*pending {
-	most = min(most, c.client.limits.TxnOps)
+	limit := c.client.TxnOps()
+	most = min(most, limit)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var batch, rest []*pending
@@ -204,7 +215,7 @@
 			break
 		}
 		fits := len(batch) == 0 || ops+len(p.Ops) <= most &&
-			len(guards)+len(p.Guards) <= c.client.limits.TxnOps*tuning.GuardsPerOp &&
+			len(guards)+len(p.Guards) <= limit*tuning.GuardsPerOp &&
 			bytes+p.size() <= tuning.TxnBytes
 		for _, g := range p.Guards {
 			if s, ok := guards[g.Key]; ok && s != g.Stamp {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -23,6 +23,13 @@
 	ValueFraction = 0.6
 	// GuardsPerOp is how many conditions a transaction may have per operation.
 	GuardsPerOp = 4
+	// PaceCut is what a refusal for too many changes leaves of a node's pace, at
+	// most once in PaceHold and not below PaceLeast; PaceBack is what it regains
+	// in each PaceHold without one.
+	PaceCut   = 0.8
+	PaceBack  = 0.05
+	PaceLeast = 0.3
+	PaceHold  = time.Second
 	// CommitLanes is how many transactions a node has in flight. More would
 	// only make guards collide.
 	CommitLanes = 3
@@ -58,6 +65,27 @@
 	// LeastValueKB is the smallest value limit that a record of ChunkTasks tasks
 	// fits, measured as JSON: about 50 bytes a task and 1 KiB of description.
 	LeastValueKB = 8
+	// LeastNextKB is the smallest value limit under which records can be split far
+	// enough: a description of 600 bytes and LeastWidth tasks of a gang.
+	LeastNextKB = 1
+	// LeastTxnOps is the least number of changes of a transaction that the
+	// splitting of one old record of ChunkTasks tasks may need at 2 KiB.
+	LeastTxnOps = 6
+	// JSONShare of a value limit is used where the JSON form is measured: the
+	// service may write its numbers and separators a little longer than we do.
+	JSONShare = 0.85
+	// LeastWidth is the fewest tasks a record is made for.
+	LeastWidth = 8
+	// TaskBytes is what a bound task takes in a record, as JSON: state, attempt,
+	// machine, session, charge and number, each longer than is ever seen.
+	TaskBytes = 40
+	// LikelyTaskBytes is what a task of an array takes as a rule: tasks on the same
+	// machine stand together. A record in which they do not takes fewer at a time.
+	LikelyTaskBytes = 20
+	// MoveRound bounds the old records that one round moves, MoveGap paces them
+	// where nothing waits for them, so that acceptance keeps its room.
+	MoveRound = 4
+	MoveGap   = 250 * time.Millisecond
 	// MaxTasks is the largest job of the protocol.
 	MaxTasks = 100_000
 	// MaxNameBytes bounds names in users' input.
@@ -161,6 +189,25 @@
 	RefuseHold = 3 * time.Second
 )
 
+// Forms of records and pipelines.
+const (
+	// Level is the newest form of records that this version reads and, once all
+	// nodes do, writes: 1 is pipelines and split records, 0 what came before.
+	Level = 1
+	// LevelPipelines is the first one with jobs that await others.
+	LevelPipelines = 1
+	// OutcomeRetry is the pause before a final record that was not there, or could
+	// not be read, is asked for again.
+	OutcomeRetry = 300 * time.Millisecond
+	// OutcomeLanes is how many final records are read at once.
+	OutcomeLanes = 4
+	// DoomPatience is how long a job that falls with another is left to the owner
+	// of its part before any node may write its end.
+	DoomPatience = 3 * time.Second
+	// DoomRound bounds the jobs that one round ends so.
+	DoomRound = 32
+)
+
 // Placement.
 const (
 	// PlaceGap is the shortest time between two placement rounds.
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -3,9 +3,12 @@
 package wire
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
+	"reflect"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -17,6 +20,7 @@
 	enc    cbor.EncMode
 	dec    cbor.DecMode
 	strict cbor.DecMode
+	plain  cbor.DecMode
 )
 
 func init() {
@@ -28,6 +32,10 @@
 	if dec, err = (cbor.DecOptions{MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 20, MaxNestedLevels: 32}).DecMode(); err != nil {
 		panic(err)
 	}
+	// Any value, in the shapes that JSON has too.
+	if plain, err = (cbor.DecOptions{MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 20, MaxNestedLevels: 32, DefaultMapType: reflect.TypeFor[map[string]any]()}).DecMode(); err != nil {
+		panic(err)
+	}
 	// Users' input: no tags, no doubled keys, little nesting, valid text.
 	if strict, err = (cbor.DecOptions{
 		DupMapKey: cbor.DupMapKeyEnforcedAPF, TagsMd: cbor.TagsForbidden,
@@ -67,6 +75,20 @@
 	return nil
 }
 
+// JSONSize is the size of an encoded value in the form that the state service
+// measures. A value that has no such form counts as too large for any limit.
+func JSONSize(b []byte) int {
+	var v any
+	if err := plain.Unmarshal(b, &v); err != nil {
+		return math.MaxInt32
+	}
+	j, err := json.Marshal(v)
+	if err != nil {
+		return math.MaxInt32
+	}
+	return len(j)
+}
+
 // ReadBody reads at most limit bytes; more is an error.
 func ReadBody(r io.Reader, limit int64) ([]byte, error) {
 	b, err := io.ReadAll(io.LimitReader(r, limit+1))
--- a/internal/wire/users.go
+++ b/internal/wire/users.go
@@ -70,6 +70,9 @@
 	CheckpointS float64  `cbor:"landfall_s"`
 	SaveS       float64  `cbor:"stow_s"`
 	DeadlineS   float64  `cbor:"cutoff_s,omitempty"`
+	// Awaits names the jobs that have to be done before any task of this one
+	// starts. It is part of LevelPipelines: an older version would lose it.
+	Awaits []string `cbor:"awaits,omitempty"`
 }
 
 // submission has every field as a pointer, to tell missing from zero.
@@ -94,6 +97,7 @@
 	CheckpointS *float64  `cbor:"landfall_s"`
 	SaveS       *float64  `cbor:"stow_s"`
 	DeadlineS   *float64  `cbor:"cutoff_s"`
+	Awaits      *[]string `cbor:"awaits"`
 }
 
 var idForm = regexp.MustCompile(`^run-[0-9]{1,20}$`)
@@ -195,6 +199,16 @@
 	if in.DeadlineS != nil {
 		s.DeadlineS = amount("cutoff_s", in.DeadlineS)
 	}
+	if in.Awaits != nil {
+		s.Awaits = *in.Awaits
+		seen := map[string]bool{}
+		for _, id := range s.Awaits {
+			if !ValidID(id) || seen[id] {
+				fail("awaits", "not of the form of job ids, or named twice")
+			}
+			seen[id] = true
+		}
+	}
 	if s.CPUs == 0 && s.GPUs == 0 && s.MemoryGB == 0 {
 		fail("vcpus", "a task must take something")
 	}
--- a/internal/world/records.go
+++ b/internal/world/records.go
@@ -23,7 +23,10 @@
 	nodeKeys   = "s/n/"
 	quotaKeys  = "s/q/"
 	rentKeys   = "s/r/"
+	fineKeys   = "s/u/"
 	CatalogKey = "s/catalog"
+	typeKeys   = "s/catalog/"
+	LevelKey   = "s/level"
 	finalKeys  = "f/"
 	learnKeys  = "l/"
 )
@@ -31,6 +34,8 @@
 // Keys by record.
 func JobKey(id string) string          { return jobKeys + id }
 func ChunkKey(id string, k int) string { return fmt.Sprintf("%s%s/%04d", chunkKeys, id, k) }
+func FineKey(id string, k int) string  { return fmt.Sprintf("%s%s/%05d", fineKeys, id, k) }
+func TypeKey(name string) string       { return typeKeys + name }
 func MachineKey(name string) string    { return machKeys + name }
 func PartKey(p int) string             { return partKeys + strconv.Itoa(p) }
 func NodeKey(name string) string       { return nodeKeys + name }
@@ -100,6 +105,12 @@
 	CancelMs int64     `cbor:"x,omitempty"`
 	Yield    uint64    `cbor:"y,omitempty"` // a gang's attempt that is to save and stop as a whole
 	Tasks    []Task    `cbor:"k,omitempty"`
+	// From LevelPipelines on. Width is how many tasks each record holds, in Groups;
+	// 0: ChunkTasks, in Tasks. While records are moved from one to the other, those
+	// of the chunks from Wide on are still as before; 0: none is.
+	Width  int     `cbor:"w,omitempty"`
+	Wide   int     `cbor:"v,omitempty"`
+	Groups []Group `cbor:"g,omitempty"`
 }
 
 // ChunkRecord is a further chunk of tasks.
@@ -107,6 +118,17 @@
 	Tasks []Task `cbor:"k"`
 }
 
+// FineRecord holds further tasks of a job with a Width.
+type FineRecord struct {
+	Groups []Group `cbor:"g"`
+}
+
+// LevelRecord is written once all nodes read the records of a level, and only
+// raised: from then on they are written too.
+type LevelRecord struct {
+	Level int `cbor:"l"`
+}
+
 // MachineRecord is a rented or adopted machine.
 type MachineRecord struct {
 	Type    string `cbor:"h"`
@@ -132,6 +154,8 @@
 // NodeRecord marks a live session; it is attached to a hold.
 type NodeRecord struct {
 	Inc uint64 `cbor:"i"`
+	// Level is the newest form of records that the process reads.
+	Level int `cbor:"l,omitempty"`
 }
 
 // QuotaRecord grants shares of a team's limit to parts.
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -7,18 +7,24 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
-	"sableusher/internal/tuning"
 	"sableusher/internal/wire"
 )
 
-// Chunk is a run of a job's tasks.
+// Chunk is the run of a job's tasks that one record holds.
 type Chunk struct {
 	Stamp uint64
 	Tasks []Task // by position; empty until a task of it was bound
 	idle  int    // tasks neither bound nor done
 }
 
+// stray is a record of tasks that the job's own record does not place (yet).
+type stray struct {
+	tasks []Task
+	stamp uint64
+}
+
 // Job is a live job.
 type Job struct {
 	JobRecord
@@ -29,6 +35,14 @@
 	Done   int
 	// Where counts the bound tasks by part.
 	Where []int
+
+	strays map[string]stray
+	Bare   int // size of the job's own record without tasks, as JSON
+
+	met     map[string]int64 // the jobs it awaits that are done, and since when
+	Doomed  bool             // a job that it needs is cancelled: it never runs
+	DoomAt  time.Time        // since when this node knows
+	ReadyMs int64            // when the last job that it awaits was done
 }
 
 // Pending is the number of tasks neither bound nor done.
@@ -39,9 +53,10 @@
 
 // Task gives the durable state of task i.
 func (j *Job) Task(i int) Task {
-	if k := i / tuning.ChunkTasks; k < len(j.Chunks) {
+	if k := j.RecordOf(i); k < len(j.Chunks) {
 		if c := &j.Chunks[k]; len(c.Tasks) > 0 {
-			return c.Tasks[i%tuning.ChunkTasks]
+			lo, _ := j.Span(k)
+			return c.Tasks[i-lo]
 		}
 	}
 	return Task{Index: i}
@@ -123,6 +138,9 @@
 	Rentals  map[string]Rental
 	Types    map[string]wire.MachineType
 	CatStamp uint64
+	// Level is the form of records that all nodes read, LevelStamp its record's.
+	Level      int
+	LevelStamp uint64
 	// Usage is what bound tasks take, by part and team.
 	Usage []map[string]Amount
 	// ByPart lists the machines of each part by name.
@@ -134,8 +152,16 @@
 	Orphans map[string]map[TaskRef]Binding
 
 	rentalOf map[string]string // of machines that an open rental lists
-	log      *slog.Logger
-	subs     []chan struct{}
+
+	catalog []wire.MachineType          // as one record, and
+	types   map[string]wire.MachineType // where that is too long, one by one
+
+	waiters map[string]map[string]struct{} // live jobs by the job that they await
+	over    map[string]FinalRecord         // final records of awaited jobs
+	unread  map[string]struct{}            // awaited jobs that are not live, their final record not read
+	doomed  map[string]struct{}            // live jobs that fall with one that they need
+	log     *slog.Logger
+	subs    []chan struct{}
 }
 
 // New makes an empty view of a region with so many parts.
@@ -145,6 +171,8 @@
 		Nodes: map[string]Node{}, Quotas: map[string]Quota{}, Rentals: map[string]Rental{},
 		Types: map[string]wire.MachineType{}, Orphans: map[string]map[TaskRef]Binding{}, log: log,
 		touched: map[string]struct{}{}, rentalOf: map[string]string{}, ByPart: make([][]*Machine, size),
+		types: map[string]wire.MachineType{}, waiters: map[string]map[string]struct{}{}, over: map[string]FinalRecord{},
+		unread: map[string]struct{}{}, doomed: map[string]struct{}{},
 	}
 	for range size {
 		w.Usage = append(w.Usage, map[string]Amount{})
@@ -176,6 +204,17 @@
 	}
 }
 
+// listTypes puts the machine types of all records together.
+func (w *World) listTypes() {
+	types := maps.Clone(w.types)
+	for _, t := range w.catalog {
+		if _, ok := types[t.Name]; !ok || w.CatStamp == 0 {
+			types[t.Name] = t
+		}
+	}
+	w.Types = types
+}
+
 func decode[T any](w *World, key string, v wire.Raw) (T, bool) {
 	var rec T
 	if err := wire.Decode(v, &rec); err != nil {
@@ -190,12 +229,26 @@
 	switch {
 	case strings.HasPrefix(key, jobKeys):
 		if rec, ok := decode[JobRecord](w, key, v); ok {
+			tasks, ok := w.ungroup(key, rec.Groups)
+			if !ok || !rec.laid() {
+				w.log.Error("unreadable record", "key", key)
+				return
+			}
+			rec.Tasks, rec.Groups = append(rec.Tasks, tasks...), nil
 			w.putJob(rec, stamp)
 		}
 	case strings.HasPrefix(key, chunkKeys):
-		if id, k, ok := parseChunk(key); ok {
+		if id, _, ok := parseRecord(key); ok {
 			if rec, ok := decode[ChunkRecord](w, key, v); ok {
-				w.setChunk(w.job(id), k, rec.Tasks, stamp)
+				w.putChunk(id, key, rec.Tasks, stamp)
+			}
+		}
+	case strings.HasPrefix(key, fineKeys):
+		if id, _, ok := parseRecord(key); ok {
+			if rec, ok := decode[FineRecord](w, key, v); ok {
+				if tasks, ok := w.ungroup(key, rec.Groups); ok {
+					w.putChunk(id, key, tasks, stamp)
+				}
 			}
 		}
 	case strings.HasPrefix(key, machKeys):
@@ -220,11 +273,17 @@
 		}
 	case key == CatalogKey:
 		if rec, ok := decode[wire.Catalog](w, key, v); ok {
-			types := map[string]wire.MachineType{}
-			for _, t := range rec.Types {
-				types[t.Name] = t
-			}
-			w.Types, w.CatStamp = types, stamp
+			w.catalog, w.CatStamp = rec.Types, stamp
+			w.listTypes()
+		}
+	case strings.HasPrefix(key, typeKeys):
+		if rec, ok := decode[wire.MachineType](w, key, v); ok {
+			w.types[rec.Name] = rec
+			w.listTypes()
+		}
+	case key == LevelKey:
+		if rec, ok := decode[LevelRecord](w, key, v); ok {
+			w.Level, w.LevelStamp = max(w.Level, rec.Level), stamp
 		}
 	}
 }
@@ -234,12 +293,9 @@
 	switch {
 	case strings.HasPrefix(key, jobKeys):
 		w.dropJob(strings.TrimPrefix(key, jobKeys))
-	case strings.HasPrefix(key, chunkKeys):
-		if id, k, ok := parseChunk(key); ok {
-			if j := w.Jobs[id]; j != nil {
-				w.setChunk(j, k, nil, 0)
-				w.sweepJob(id, j)
-			}
+	case strings.HasPrefix(key, chunkKeys), strings.HasPrefix(key, fineKeys):
+		if id, _, ok := parseRecord(key); ok {
+			w.dropChunk(id, key)
 		}
 	case strings.HasPrefix(key, machKeys):
 		w.dropMachine(strings.TrimPrefix(key, machKeys))
@@ -254,11 +310,6 @@
 	}
 }
 
-func parseChunk(key string) (string, int, bool) {
-	ref, ok := ParseRef(strings.TrimPrefix(key, chunkKeys))
-	return ref.Job, ref.Index, ok && ref.Index > 0 && ref.Index < Chunks(tuning.MaxTasks)
-}
-
 func parsePart(key string) int {
 	p := 0
 	for _, c := range strings.TrimPrefix(key, partKeys) {
@@ -280,10 +331,10 @@
 }
 
 func (w *World) putJob(rec JobRecord, stamp uint64) {
-	j := w.job(rec.Spec.ID)
+	id := rec.Spec.ID
+	j := w.job(id)
 	tasks := rec.Tasks
 	rec.Tasks = nil
-	first := !j.Known
 	if rec.CancelMs != j.CancelMs || rec.Yield != j.Yield {
 		j.Each(func(t Task) {
 			if t.State == Bound {
@@ -291,16 +342,74 @@
 			}
 		})
 	}
-	j.JobRecord, j.Stamp, j.Known = rec, stamp, true
+	first, moved := !j.Known, rec.Width != j.Width || rec.Wide != j.Wide
+	if moved {
+		w.unlay(j)
+	}
 	if first {
-		// Chunks seen earlier were sized without the job's task count.
-		for k := range j.Chunks {
-			old := j.Chunks[k]
-			j.Chunks[k] = Chunk{}
-			w.setChunk(j, k, old.Tasks, old.Stamp)
+		j.Bare = BareSize(rec)
+	}
+	j.JobRecord, j.Stamp, j.Known = rec, stamp, true
+	if first || moved {
+		for key, s := range j.strays {
+			if k, ok := j.place(key); ok {
+				delete(j.strays, key)
+				w.setChunk(j, k, s.tasks, s.stamp)
+			}
 		}
 	}
 	w.setChunk(j, 0, tasks, stamp)
+	if first {
+		w.await(id, j)
+	}
+	w.tellWaiters(id)
+}
+
+// putChunk takes in a further record of a job's tasks. One that the job's own
+// record does not place is kept aside until that one changes: both change in one
+// transaction, but one comes first.
+func (w *World) putChunk(id, key string, tasks []Task, stamp uint64) {
+	j := w.job(id)
+	if k, ok := j.place(key); ok && j.Known {
+		w.setChunk(j, k, tasks, stamp)
+		w.tellWaiters(id)
+		return
+	}
+	if j.strays == nil {
+		j.strays = map[string]stray{}
+	}
+	j.strays[key] = stray{tasks, stamp}
+}
+
+func (w *World) dropChunk(id, key string) {
+	j := w.Jobs[id]
+	if j == nil {
+		return
+	}
+	delete(j.strays, key)
+	if k, ok := j.place(key); ok && j.Known {
+		w.setChunk(j, k, nil, 0)
+	}
+	w.sweepJob(id, j)
+}
+
+// unlay puts the further records of a job aside, as its own record is about to
+// place them anew.
+func (w *World) unlay(j *Job) {
+	for k := range j.Chunks {
+		c := j.Chunks[k]
+		for _, t := range c.Tasks {
+			w.index(j, t, -1)
+		}
+		if k == 0 || c.Stamp == 0 {
+			continue
+		}
+		if j.strays == nil {
+			j.strays = map[string]stray{}
+		}
+		j.strays[j.Key(k)] = stray{c.Tasks, c.Stamp}
+	}
+	j.Chunks = nil
 }
 
 // setChunk replaces a chunk's tasks and keeps the indexes in step.
@@ -309,10 +418,6 @@
 		j.Chunks = append(j.Chunks, Chunk{})
 	}
 	c := &j.Chunks[k]
-	if !j.Known {
-		c.Tasks, c.Stamp = tasks, stamp
-		return
-	}
 	old := c.Tasks
 	c.Stamp, c.Tasks = stamp, nil
 	if len(tasks) == 0 {
@@ -321,8 +426,8 @@
 		}
 		return
 	}
-	base := k * tuning.ChunkTasks
-	c.Tasks = make([]Task, min(tuning.ChunkTasks, j.Spec.Tasks-base))
+	base, end := j.Span(k)
+	c.Tasks = make([]Task, end-base)
 	for i := range c.Tasks {
 		c.Tasks[i].Index = base + i
 	}
@@ -395,35 +500,22 @@
 	if j == nil {
 		return
 	}
+	nj := &Job{strays: j.strays}
 	if j.Known {
-		for k := range j.Chunks {
-			for _, t := range j.Chunks[k].Tasks {
-				w.index(j, t, -1)
-			}
-		}
-	}
-	chunks := j.Chunks
-	nj := &Job{}
-	for k := 1; k < len(chunks); k++ {
-		if chunks[k].Stamp != 0 {
-			w.setChunk(nj, k, chunks[k].Tasks, chunks[k].Stamp)
-		}
+		w.unlay(j)
+		nj.strays = j.strays
+		w.unawait(id, j)
 	}
 	w.Jobs[id] = nj
 	w.sweepJob(id, nj)
+	w.tellWaiters(id)
 }
 
 // sweepJob forgets a job of which no record is left.
 func (w *World) sweepJob(id string, j *Job) {
-	if j.Known {
-		return
+	if !j.Known && len(j.strays) == 0 {
+		delete(w.Jobs, id)
 	}
-	for _, c := range j.Chunks {
-		if c.Stamp != 0 {
-			return
-		}
-	}
-	delete(w.Jobs, id)
 }
 
 // use counts what n tasks of a job take.
@@ -537,38 +629,3 @@
 	w.touched = map[string]struct{}{}
 	return out
 }
-
-// Encode gives the record of the chunk that holds task i, with changes.
-func (j *Job) Encode(k int, change map[int]Task) (string, wire.Raw) {
-	var tasks []Task
-	base := k * tuning.ChunkTasks
-	for i := base; i < min(base+tuning.ChunkTasks, j.Spec.Tasks); i++ {
-		t, ok := change[i]
-		if !ok {
-			t = j.Task(i)
-		}
-		if t.State != Idle || t.Attempt != 0 {
-			tasks = append(tasks, t)
-		}
-	}
-	if k == 0 {
-		rec := j.JobRecord
-		rec.Tasks = tasks
-		return JobKey(j.Spec.ID), wire.MustEncode(rec)
-	}
-	return ChunkKey(j.Spec.ID, k), wire.MustEncode(ChunkRecord{tasks})
-}
-
-// ChunkGuards are the conditions under which an encoded chunk may be written:
-// neither it nor the job's record has changed.
-func (j *Job) ChunkGuards(k int) []wire.Guard {
-	g := []wire.Guard{{Key: JobKey(j.Spec.ID), Stamp: j.Stamp}}
-	if k > 0 {
-		var s uint64
-		if k < len(j.Chunks) {
-			s = j.Chunks[k].Stamp
-		}
-		g = append(g, wire.Guard{Key: ChunkKey(j.Spec.ID, k), Stamp: s})
-	}
-	return g
-}
--- a/internal/world/world_test.go
+++ b/internal/world/world_test.go
@@ -105,8 +105,8 @@
 	for i := tuning.ChunkTasks; i < 2*tuning.ChunkTasks; i++ {
 		change[i] = Task{Index: tuning.MaxTasks, State: Bound, Attempt: 1 << 20, Machine: "vm-000000231", Session: 1 << 20}
 	}
-	if _, raw := j.Encode(1, change); float64(len(raw)) > tuning.ValueFraction*16*1024 {
-		t.Fatalf("%d bytes", len(raw))
+	if op := j.Encode(1, change); float64(len(op.Value)) > tuning.ValueFraction*16*1024 {
+		t.Fatalf("%d bytes", len(op.Value))
 	}
 }
 
