--- a/internal/learn/learner.go
+++ b/internal/learn/learner.go
@@ -4,8 +4,11 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
+	"strconv"
 	"sync"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -13,6 +16,7 @@
 	"gonum.org/v1/gonum/mat"
 
 	"sableusher/internal/tuning"
+	"sableusher/internal/wire"
 )
 
 var (
@@ -224,6 +228,73 @@
 	Paid    int                  `cbor:"p"`
 	Runs    map[string][]float64 `cbor:"r"` // completed run times by class, newest last
 	Ratios  map[string][]float64 `cbor:"q"` // run time over its owner's estimate
+	// Where it is kept in pieces: how many there are, and when they were written.
+	Of   int   `cbor:"n,omitempty"`
+	AtMs int64 `cbor:"t,omitempty"`
+}
+
+// Split gives the same in pieces of at most room bytes of JSON, to be written
+// together. Figures are cut to six digits: they are advice, and shorter so.
+func (s Saved) Split(room int, atMs int64) []Saved {
+	bare := Saved{Form: s.Form, Paid: s.Paid, AtMs: atMs, Of: tuning.LearnClasses}
+	out := []Saved{bare}
+	free := room - wire.JSONSize(wire.MustEncode(bare))
+	// last gives the piece that has room for so much.
+	last := func(size int) *Saved {
+		if free < size {
+			out = append(out, bare)
+			free = room - wire.JSONSize(wire.MustEncode(bare))
+		}
+		free -= size
+		return &out[len(out)-1]
+	}
+	for _, w := range s.Weights {
+		w = short(w)
+		p := last(wire.JSONSize(wire.MustEncode(w)) + 1)
+		p.Weights = append(p.Weights, w)
+	}
+	for i, from := range []map[string][]float64{s.Runs, s.Ratios} {
+		for _, class := range slices.Sorted(maps.Keys(from)) {
+			list := slices.Clone(from[class])
+			for i := range list {
+				list[i] = short(list[i])
+			}
+			p := last(wire.JSONSize(wire.MustEncode(map[string][]float64{class: list})))
+			to := []*map[string][]float64{&p.Runs, &p.Ratios}[i]
+			if *to == nil {
+				*to = map[string][]float64{}
+			}
+			(*to)[class] = list
+		}
+	}
+	for i := range out {
+		out[i].Of = len(out)
+	}
+	return out
+}
+
+// short cuts a figure to six digits.
+func short(v float64) float64 {
+	out, err := strconv.ParseFloat(strconv.FormatFloat(v, 'g', 6, 64), 64)
+	if err != nil {
+		return v
+	}
+	return out
+}
+
+// Join adds the next piece; one of another time is refused.
+func (s *Saved) Join(piece Saved) error {
+	if piece.AtMs != s.AtMs || piece.Of != s.Of || piece.Form != s.Form {
+		return errors.New("pieces of different times")
+	}
+	s.Weights = append(s.Weights, piece.Weights...)
+	for to, from := range map[*map[string][]float64]map[string][]float64{&s.Runs: piece.Runs, &s.Ratios: piece.Ratios} {
+		if *to == nil {
+			*to = map[string][]float64{}
+		}
+		maps.Copy(*to, from)
+	}
+	return nil
 }
 
 // Save gives the readout's durable form.
--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -61,8 +61,10 @@
 	vetoes    map[string]veto            // silent machines, by what the peers said
 	hints     map[string]map[string]bool // the other nodes' machines by image
 	again     chan struct{}
-	moves     map[string]bool // jobs whose records are to be moved before they are written
-	movedAt   time.Time       // when records that nothing asked for were last moved
+	perGPU    world.Amount         // what GPU work takes beside each GPU
+	refused   map[string]time.Time // records that were refused as malformed, until they are tried again
+	moves     map[string]bool      // jobs whose records are to be moved before they are written
+	movedAt   time.Time            // when records that nothing asked for were last moved
 }
 
 // Peers asks the other nodes which workers they have heard from.
@@ -107,7 +109,7 @@
 		set: set, op: op, world: w, member: m, fleet: f, commit: c, quota: quota.New(set.Deployment.Teams, w), log: log,
 		busy: map[string]bool{}, moving: map[uint64]*change{}, backoff: map[string]retry{}, waits: map[string]wait{}, look: map[string]struct{}{}, valued: map[string]valued{},
 		forming: map[string]time.Time{}, told: map[string]time.Time{}, held: map[string]reserve{}, owned: map[int]time.Time{}, gone: map[string]bool{},
-		moves: map[string]bool{}, fenced: map[int]time.Time{}, reader: reader, peers: peers, vetoes: map[string]veto{},
+		moves: map[string]bool{}, refused: map[string]time.Time{}, fenced: map[int]time.Time{}, reader: reader, peers: peers, vetoes: map[string]veto{},
 		values: values{
 			learner: learn.New(op.LearnRate, op.Discount, op.Exploration, op.ColdPayoffs, m.Inc, log),
 			runs:    learn.NewEstimates(), open: map[attempt]int64{}, began: map[attempt]time.Time{}, recent: 0.5,
@@ -253,6 +255,11 @@
 	delete(e.moving, id)
 	for _, k := range c.keys {
 		delete(e.busy, k)
+		if errors.Is(err, store.ErrRefused) {
+			// Not applied, and it would not be now either: at each round anew it would
+			// only take the budget from others.
+			e.refused[k] = time.Now().Add(tuning.RefusedPause)
+		}
 	}
 	e.mu.Unlock()
 	if err != nil {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -19,6 +19,7 @@
 	Spec  *wire.Spec
 	Count int
 	Zone  string    // where the rest of its tasks have room, if they must be together
+	Rank  int       // its priority, or that of a job that needs it
 	Since time.Time // of the job's submission
 }
 
@@ -94,15 +95,37 @@
 			r.guarantees()
 		}
 		deadline, pressing := r.deadline(j)
-		out = append(out, due{job: j, need: world.Need(&j.Spec), assured: r.assured[id], rank: wire.Rank(j.Spec.Priority),
+		out = append(out, due{job: j, need: world.Need(&j.Spec), assured: r.assured[id], rank: r.rank(j),
 			deadline: deadline, pressing: pressing, home: -1})
 	}
 	r.order(out, room)
 	return out
 }
 
+// besides finds what work on GPUs takes of the rest of a machine for each: the
+// most that a gang or a service takes, and what arrays take on average.
+func (r *round) besides() {
+	var most, sum world.Amount
+	for _, j := range r.world.Jobs {
+		need := world.Need(&j.Spec)
+		switch {
+		case !j.Known || j.Cancelled() || need.GPUs == 0:
+		case j.Spec.Kind == wire.KindArray:
+			sum = sum.Plus(need, 1)
+		default:
+			most.CPUs, most.Mem = max(most.CPUs, need.CPUs/need.GPUs), max(most.Mem, need.Mem/need.GPUs)
+		}
+	}
+	if sum.GPUs > 0 {
+		most.CPUs, most.Mem = max(most.CPUs, sum.CPUs/sum.GPUs), max(most.Mem, sum.Mem/sum.GPUs)
+	}
+	r.perGPU = most
+}
+
 // sweep forgets what is kept of jobs that are over.
 func (r *round) sweep() {
+	r.besides()
+	maps.DeleteFunc(r.refused, func(_ string, until time.Time) bool { return r.now.After(until) })
 	over := func(id string) bool { return r.world.Jobs[id] == nil }
 	maps.DeleteFunc(r.valued, func(id string, _ valued) bool { return over(id) })
 	maps.DeleteFunc(r.backoff, func(id string, _ retry) bool { return over(id) })
@@ -134,6 +157,9 @@
 			aims = append(aims, at.Add(config.Seconds(o.WithinS)))
 		}
 	}
+	if by := r.pulled(j.Spec.ID).by; !by.IsZero() {
+		aims = append(aims, by)
+	}
 	if len(aims) == 0 {
 		return at.Add(tuning.NoDeadline), false
 	}
@@ -363,7 +389,7 @@
 	short := du.left
 	r.choose(du, coming, &z, nil)
 	if du.left > 0 {
-		d.Groups = append(d.Groups, Group{Spec: spec, Count: du.left, Zone: z.pin, Since: j.Since()})
+		d.Groups = append(d.Groups, Group{Spec: spec, Count: du.left, Zone: z.pin, Rank: du.rank, Since: j.Since()})
 	}
 	if (du.assured || du.rank <= wire.Rank(wire.PriorityHigh)) && (!gang || spec.Tasks == 1) {
 		for i := range min(short, tuning.PreemptTasks) {
@@ -462,7 +488,7 @@
 
 // choose takes room for a job's tasks on machines, the preferred ones first:
 // room that was freed for it, spot machines, those that hold its image, and
-// those in use, so that others stay whole.
+// those in use, so that others stay whole. Tasks without GPUs go beside GPU work.
 func (r *round) choose(du *due, fit []*node, z *zones, also func(*node) bool) []*node {
 	spec := &du.job.Spec
 	var tiers [16][]*node
@@ -474,14 +500,11 @@
 		if n.kept == "" {
 			t |= 8
 		}
-		if !n.m.Spot {
-			t |= 4
-		}
-		if !r.holds(spec.Image, n) {
-			t |= 2
-		}
-		if n.free == n.capacity {
-			t |= 1
+		fetches := !r.holds(spec.Image, n)
+		if besides := du.need.GPUs == 0 && n.capacity.GPUs > 0; besides {
+			t |= bit(!r.beside(du.need, n), 4) | bit(n.free.GPUs == n.capacity.GPUs, 2) | bit(fetches, 1)
+		} else {
+			t |= bit(!n.m.Spot, 4) | bit(fetches, 2) | bit(n.free == n.capacity, 1)
 		}
 		tiers[t] = append(tiers[t], n)
 	}
@@ -502,6 +525,21 @@
 	return picks
 }
 
+func bit(set bool, b int) int {
+	if set {
+		return b
+	}
+	return 0
+}
+
+// beside tells whether a task without GPUs leaves a machine what its free GPUs
+// need: whatever stands there now could stand beside it, and a gang that takes
+// whole machines still finds this one whole.
+func (r *round) beside(need world.Amount, n *node) bool {
+	keep := world.Amount{CPUs: r.perGPU.CPUs * n.free.GPUs, Mem: r.perGPU.Mem * n.free.GPUs}
+	return need.Within(n.free.Plus(keep, -1))
+}
+
 // holds tells whether a machine is believed to hold an image: a task of it is
 // bound there, or has been, as its part's owner knows and tells the others.
 func (r *round) holds(image string, n *node) bool {
@@ -789,12 +827,12 @@
 func (r *round) victims(n *node, du *due) []world.Binding {
 	var list []world.Binding
 	for _, b := range n.m.Bound {
-		if r.yields(&b.Job.Spec, du) && !b.Job.Cancelled() && world.Yields(&b.Job.Spec) && !r.fleet.Stopping(b) {
+		if r.yields(b.Job, du) && !b.Job.Cancelled() && world.Yields(&b.Job.Spec) && !r.fleet.Stopping(b) {
 			list = append(list, b)
 		}
 	}
 	slices.SortFunc(list, func(a, b world.Binding) int {
-		return cmp.Or(-cmp.Compare(wire.Rank(a.Job.Spec.Priority), wire.Rank(b.Job.Spec.Priority)),
+		return cmp.Or(-cmp.Compare(r.rank(a.Job), r.rank(b.Job)),
 			cmp.Compare(r.cost(a, n), r.cost(b, n)), cmp.Compare(a.Ref.String(), b.Ref.String()))
 	})
 	return list
@@ -835,8 +873,8 @@
 
 // yields tells whether a task may be stopped for a waiting job: it has a lower
 // priority, or another team borrows with it what the job's team is guaranteed.
-func (r *round) yields(s *wire.Spec, du *due) bool {
-	rank := wire.Rank(s.Priority)
+func (r *round) yields(j *world.Job, du *due) bool {
+	s, rank := &j.Spec, r.rank(j)
 	_, guaranteed := r.quota.Guarantee(s.Team)
 	borrowed := guaranteed && !r.assured[s.ID] && s.Team != du.job.Spec.Team
 	if rank > du.rank {
--- a/internal/place/settle.go
+++ b/internal/place/settle.go
@@ -34,6 +34,7 @@
 	blocked bool                       // a task's end could not be written yet
 	gangs   map[gangKey]bool           // whether an attempt is broken, looked at once a round
 	seen    *learn.State               // what this round chooses in
+	pulls   map[string]pulled          // what jobs that need others ask of them
 }
 
 // editKey names one record of a job.
@@ -101,7 +102,7 @@
 // way, or while it has to be moved first.
 func (r *round) edit(j *world.Job, task int) *edit {
 	k := j.RecordOf(task)
-	if r.busy[j.Key(k)] || k > 0 && r.busy[j.Key(0)] && j.Spec.OneZone || r.outgrown(j) {
+	if _, ok := r.refused[j.Key(k)]; ok || r.busy[j.Key(k)] || k > 0 && r.busy[j.Key(0)] && j.Spec.OneZone || r.outgrown(j) {
 		return nil
 	}
 	ed := r.edits[editKey{j, k}]
--- a/internal/place/value.go
+++ b/internal/place/value.go
@@ -125,6 +125,81 @@
 	r.log.Debug("payoff", "task", k.ref, "responsiveness", responsiveness, "utilization", r.values.utilization(), "payoff", p)
 }
 
+// pulled is what the jobs that need one ask of it: the highest of their
+// priorities, and by when it should be over for them to meet their deadlines.
+type pulled struct {
+	rank int
+	by   time.Time
+}
+
+// pulled follows the jobs that need one, directly or through others; those that
+// are cancelled ask nothing any more. It reads records only, so that all nodes
+// find the same but for their estimates of what lies between.
+func (r *round) pulled(id string) pulled {
+	out := pulled{rank: wire.Ranks}
+	waiters := r.world.Waiters(id)
+	if len(waiters) == 0 {
+		return out
+	}
+	if known, ok := r.pulls[id]; ok {
+		return known
+	}
+	for w := range waiters {
+		j := r.world.Jobs[w]
+		if j == nil || !j.Known || j.Cancelled() || j.Doomed {
+			continue
+		}
+		up := r.pulled(w)
+		out.rank = min(out.rank, up.rank, wire.Rank(j.Spec.Priority))
+		if by := earlier(up.by, r.cutoff(j)); !by.IsZero() {
+			out.by = earlier(out.by, by.Add(-config.Seconds(r.values.runs.RunS(j.Spec.Class, j.Spec.EstimateS))))
+		}
+	}
+	if r.pulls == nil {
+		r.pulls = map[string]pulled{}
+	}
+	r.pulls[id] = out
+	return out
+}
+
+// earlier gives the earlier of two times, of which either may be none.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// cutoff is the deadline of a job that can still be met, or its last; none
+// without a deadline.
+func (r *round) cutoff(j *world.Job) time.Time {
+	if j.Spec.DeadlineS <= 0 {
+		return time.Time{}
+	}
+	sent, times := time.UnixMilli(j.AtMs), []float64{1}
+	for _, o := range r.set.Deployment.Objectives {
+		if o.Class == j.Spec.Class && o.Kind == "deadline" && o.Times > 0 {
+			times = append(times, o.Times)
+		}
+	}
+	slices.Sort(times)
+	run := config.Seconds(r.values.runs.RunS(j.Spec.Class, j.Spec.EstimateS))
+	var at time.Time
+	for _, t := range times {
+		if at = sent.Add(config.Seconds(j.Spec.DeadlineS * t)); at.Sub(r.now) >= run {
+			break
+		}
+	}
+	return at
+}
+
+// rank is a job's priority, raised to that of a job that needs it. Production
+// stays for services that users watch: what only leads to something is never
+// above high, so that a long pipeline can't push them aside.
+func (r *round) rank(j *world.Job) int {
+	return min(wire.Rank(j.Spec.Priority), max(r.pulled(j.Spec.ID).rank, wire.Rank(wire.PriorityHigh)))
+}
+
 // state describes what this round chooses in.
 func (r *round) state() learn.State {
 	s := learn.State{Shares: map[string]float64{}, NextFreeS: math.Inf(1)}
@@ -218,7 +293,7 @@
 
 func (r *round) action(j *world.Job) *learn.Action {
 	return &learn.Action{Class: j.Spec.Class, Team: j.Spec.Team, RunS: r.values.runs.RunS(j.Spec.Class, j.Spec.EstimateS),
-		Interactive: wire.Rank(j.Spec.Priority) <= wire.Rank(wire.PriorityHigh)}
+		Interactive: r.rank(j) <= wire.Rank(wire.PriorityHigh)}
 }
 
 // score values a job in the state of this round.
@@ -282,8 +357,18 @@
 		case <-save.C:
 			s := e.values.learner.Save()
 			e.values.runs.Save(&s)
+			e.world.RLock()
+			level := e.world.Level
+			e.world.RUnlock()
+			item := store.Item{Ops: []wire.Op{store.Set(key, s)}}
+			if level >= tuning.LevelPipelines {
+				item.Ops = nil
+				for i, piece := range s.Split(e.commit.Room(), time.Now().UnixMilli()) {
+					item.Ops = append(item.Ops, store.Set(world.LearnPieceKey(e.set.Node, i), piece))
+				}
+			}
 			cctx, cancel := context.WithTimeout(ctx, tuning.CommitTimeout)
-			if _, err := e.commit.Do(cctx, store.Item{Ops: []wire.Op{store.Set(key, s)}}); err != nil {
+			if _, err := e.commit.Do(cctx, item); err != nil {
 				e.log.Debug("values not saved", "err", err)
 			}
 			cancel()
@@ -291,33 +376,54 @@
 	}
 }
 
-// restore goes on from the values saved under the node's name. They are advice
-// only: what is corrupt or of another form is ignored.
-func (e *Engine) restore(ctx context.Context, key string) {
-	for ctx.Err() == nil {
+// read reads a record, again and again while the state service doesn't answer.
+func (e *Engine) read(ctx context.Context, key string) (learn.Saved, error) {
+	for {
+		var s learn.Saved
 		row, err := e.reader.Get(ctx, key)
-		if errors.Is(err, store.ErrNotFound) {
-			return
-		}
-		if err != nil {
-			select {
-			case <-ctx.Done():
-			case <-time.After(tuning.StateRetry):
-			}
-			continue
+		switch {
+		case err == nil:
+			return s, wire.Decode(row.Value, &s)
+		case errors.Is(err, store.ErrNotFound) || ctx.Err() != nil:
+			return s, err
 		}
-		var s learn.Saved
-		if err := wire.Decode(row.Value, &s); err != nil {
-			e.log.Info("saved values ignored", "err", err)
-			return
+		select {
+		case <-ctx.Done():
+		case <-time.After(tuning.StateRetry):
 		}
-		if err := e.values.learner.Restore(s); err != nil {
-			e.log.Info("saved values ignored", "err", err)
-			return
+	}
+}
+
+// saved reads the values saved under the node's name: in pieces, or as one
+// record, as they were before LevelPipelines.
+func (e *Engine) saved(ctx context.Context, key string) (learn.Saved, error) {
+	s, err := e.read(ctx, world.LearnPieceKey(e.set.Node, 0))
+	if errors.Is(err, store.ErrNotFound) {
+		return e.read(ctx, key)
+	}
+	for i := 1; i < s.Of && err == nil; i++ {
+		var piece learn.Saved
+		if piece, err = e.read(ctx, world.LearnPieceKey(e.set.Node, i)); err == nil {
+			err = s.Join(piece)
 		}
+	}
+	return s, err
+}
+
+// restore goes on from the values saved under the node's name. They are advice
+// only: what is corrupt or of another form is ignored.
+func (e *Engine) restore(ctx context.Context, key string) {
+	s, err := e.saved(ctx, key)
+	if err == nil {
+		err = e.values.learner.Restore(s)
+	}
+	switch {
+	case errors.Is(err, store.ErrNotFound) || ctx.Err() != nil:
+	case err != nil:
+		e.log.Info("saved values ignored", "err", err)
+	default:
 		e.values.runs.Restore(s)
 		e.log.Info("goes on from saved values", "payoffs", s.Paid)
-		return
 	}
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -114,12 +114,32 @@
 		if leads {
 			guards = append(guards, lead)
 		}
-		if _, err := p.do(ctx, store.Item{Guards: guards, Ops: []wire.Op{store.Set(world.CatalogKey, cat)}}); err != nil {
-			p.log.Debug("catalog not written", "err", err)
+		for _, ops := range p.catalogOps(cat) {
+			if _, err := p.do(ctx, store.Item{Guards: guards, Ops: ops}); err != nil {
+				p.log.Debug("catalog not written", "err", err)
+			}
 		}
 	}
 }
 
+// catalogOps are the changes that record a catalog, by transaction: one record,
+// or where that would be too long, one for each type. Once it is kept by type it
+// stays so, as those records count first.
+func (p *Pool) catalogOps(cat wire.Catalog) [][]wire.Op {
+	whole := store.Set(world.CatalogKey, cat)
+	p.world.RLock()
+	level, byType := p.world.Level, p.world.ByType()
+	p.world.RUnlock()
+	if level < tuning.LevelPipelines || !byType && wire.JSONSize(whole.Value) <= p.commit.Room() {
+		return [][]wire.Op{{whole}}
+	}
+	var ops []wire.Op
+	for _, t := range cat.Types {
+		ops = append(ops, store.Set(world.TypeKey(t.Name), t))
+	}
+	return slices.Collect(slices.Chunk(ops, p.commit.TxnOps()))
+}
+
 func (p *Pool) do(ctx context.Context, it store.Item) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, tuning.CommitTimeout)
 	defer cancel()
@@ -248,6 +268,7 @@
 	}
 	now := time.Now()
 	var out []bin
+	rank := wire.Ranks
 	late := false // the work at hand has waited so long that its room is no choice any more
 	open := func(s *wire.Spec, zone string, also func(string) bool) *bin {
 		k, ok := p.choose(s, zone, held, now, also)
@@ -255,13 +276,13 @@
 			return nil
 		}
 		t := p.world.Types[k.typ]
-		out = append(out, bin{k, world.Capacity(&t), wire.Rank(s.Priority) <= wire.Rank(wire.PriorityHigh) || late})
+		out = append(out, bin{k, world.Capacity(&t), rank <= wire.Rank(wire.PriorityHigh) || late})
 		held[k.zone]++
 		return &out[len(out)-1]
 	}
 	for _, g := range d.Groups {
 		s, need := g.Spec, world.Need(g.Spec)
-		late = now.Sub(g.Since) > tuning.StarveAfter
+		late, rank = now.Sub(g.Since) > tuning.StarveAfter, g.Rank
 		zone, count := s.Zone, g.Count
 		if zone == "" && s.OneZone && g.Zone != "" {
 			// The rest of a gang has its room there; refused there, it needs all of
@@ -297,7 +318,7 @@
 			}
 		}
 	}
-	late = false
+	late, rank = false, wire.Ranks
 	step := p.step(now)
 	short := p.op.PoolMin - total - len(out)
 	spare := max(short, int(math.Ceil(step.room-d.Spare.Room-0.5)), int(math.Ceil(step.whole-float64(d.Spare.Whole)-0.5)))
@@ -338,6 +359,9 @@
 		if now.Sub(at) > tuning.ArrivalWindow {
 			continue
 		}
+		if p.besides(&j.Spec) {
+			continue
+		}
 		room := p.roomOf(&j.Spec)
 		p.arrived[id] = arrival{at, room, j.Spec.Spot, room > tuning.WholeShare*float64(j.Spec.Tasks)}
 	}
@@ -366,6 +390,17 @@
 	return step{max(float64(p.op.PoolStep), deviation(room)), deviation(whole), deviation(spot)}
 }
 
+// besides tells whether a job takes no GPU though machines have them: it finds
+// its room beside other work as a rule, and no machine is kept for it.
+func (p *Pool) besides(s *wire.Spec) bool {
+	for _, t := range p.world.Types {
+		if t.GPUs == 0 {
+			return false
+		}
+	}
+	return s.GPUs == 0
+}
+
 // roomOf is what a job takes, in machines of the largest type.
 func (p *Pool) roomOf(s *wire.Spec) float64 {
 	best := math.Inf(1)
@@ -430,9 +465,10 @@
 	var g errgroup.Group
 	g.SetLimit(tuning.RentLanes)
 	for _, k := range kinds {
-		for n := count[k]; n > 0; n -= tuning.RentMax {
+		most := p.rentMax()
+		for n := count[k]; n > 0; n -= most {
 			g.Go(func() error {
-				p.rent(ctx, lead, k, min(n, tuning.RentMax))
+				p.rent(ctx, lead, k, min(n, most))
 				return nil
 			})
 		}
@@ -440,6 +476,18 @@
 	_ = g.Wait()
 }
 
+// rentMax is how many machines one request may ask for: their names go into the
+// rental's record.
+func (p *Pool) rentMax() int {
+	p.world.RLock()
+	defer p.world.RUnlock()
+	longest := tuning.NameBytes
+	for name := range p.world.Machines {
+		longest = max(longest, len(name))
+	}
+	return max(1, min(tuning.RentMax, (p.commit.Room()-tuning.RentalBytes)/(longest+len(`"",`))))
+}
+
 // rent writes a request's name, asks the cloud, and records the machines.
 func (p *Pool) rent(ctx context.Context, lead wire.Guard, k kind, count int) {
 	p.mu.Lock()
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -253,6 +253,9 @@
 	// JobBackoff and JobBackoffMax pace the restarts of a task that fails on several machines.
 	JobBackoff    = 2 * time.Second
 	JobBackoffMax = 60 * time.Second
+	// RefusedPause is how long a record is left alone that the state service refused
+	// as malformed, which it does with one over a limit that came early.
+	RefusedPause = 2 * time.Second
 	// PreemptHold is how long room freed for a task is kept for it.
 	PreemptHold = 12 * time.Second
 	// GangForm is how long a gang may take to be bound whole before it is withdrawn.
@@ -305,6 +308,11 @@
 	StepDeviations = 1.0
 	// RentMax is the most machines one request may ask for.
 	RentMax = 50
+	// NameBytes is the length that a machine's name is expected to have at least,
+	// and RentalBytes what a rental's record takes without names, with the longest
+	// type and zone.
+	NameBytes   = 12
+	RentalBytes = 400
 	// RentLanes is how many rental requests are on their way at once.
 	RentLanes = 4
 	// WholeShare is the share of a machine above which a task needs one of its own.
--- a/internal/world/records.go
+++ b/internal/world/records.go
@@ -42,7 +42,10 @@
 func QuotaKey(team string) string      { return quotaKeys + team }
 func RentalKey(name string) string     { return rentKeys + name }
 func LearnKey(node string) string      { return learnKeys + node }
-func FinalKey(id string) string        { return finalKeys + id }
+func LearnPieceKey(node string, i int) string {
+	return fmt.Sprintf("%s%s/%d", learnKeys, node, i)
+}
+func FinalKey(id string) string { return finalKeys + id }
 
 // Leader is the pseudo part whose owner leads: it sizes the fleet.
 const Leader = -1
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -204,6 +204,9 @@
 	}
 }
 
+// ByType tells whether the catalog is kept by type. Callers hold the lock.
+func (w *World) ByType() bool { return len(w.types) > 0 }
+
 // listTypes puts the machine types of all records together.
 func (w *World) listTypes() {
 	types := maps.Clone(w.types)
