--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -22,6 +22,7 @@
 	Self  string
 	Inc   uint64 // this process, among all that ran under the name
 	nodes []string
+	level int // the newest form of records that this process reads
 
 	client *store.Client
 	commit *store.Committer
@@ -36,9 +37,10 @@
 	took   map[int]time.Time // since when a part is ours
 }
 
-// New makes the membership of node self among nodes.
-func New(self string, inc uint64, nodes []string, c *store.Client, commit *store.Committer, cache *store.Cache, w *world.World, log *slog.Logger) *Member {
-	return &Member{Self: self, Inc: inc, nodes: nodes, client: c, commit: commit, cache: cache, world: w, log: log,
+// New makes the membership of node self among nodes, by a process that reads
+// records up to a level.
+func New(self string, inc uint64, nodes []string, level int, c *store.Client, commit *store.Committer, cache *store.Cache, w *world.World, log *slog.Logger) *Member {
+	return &Member{Self: self, Inc: inc, nodes: nodes, level: level, client: c, commit: commit, cache: cache, world: w, log: log,
 		orphan: map[int]time.Time{}, seen: map[string]time.Time{}, fences: map[int]bool{}, took: map[int]time.Time{}}
 }
 
@@ -79,7 +81,7 @@
 			continue
 		}
 		if err == nil && !registered {
-			op := store.Set(world.NodeKey(m.Self), world.NodeRecord{Inc: m.Inc, Level: tuning.Level})
+			op := store.Set(world.NodeKey(m.Self), world.NodeRecord{Inc: m.Inc, Level: m.level})
 			op.Hold = hold
 			_, err = m.commit.Do(ctx, store.Item{Ops: []wire.Op{op}, Urgent: true})
 			if errors.Is(err, store.ErrRefused) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,9 +36,10 @@
 }
 
 // New makes a controller. inc tells this process from all others under its
-// name; rt carries its requests, nil for the network; lines makes the lines to
+// name; level is the newest form of records that it reads, tuning.Level but for
+// tests of upgrades; rt carries its requests, nil for the network; lines makes the lines to
 // the other nodes.
-func New(set *config.Settings, op *config.Operator, inc uint64, rt http.RoundTripper, lines func(peer.Witness) (Lines, error), log *slog.Logger) (*Node, error) {
+func New(set *config.Settings, op *config.Operator, inc uint64, level int, rt http.RoundTripper, lines func(peer.Witness) (Lines, error), log *slog.Logger) (*Node, error) {
 	d := &set.Deployment
 	client := store.NewClient(set.Outside.State, store.Limits{
 		Share: tuning.StateShare / float64(d.Size), RPS: d.State.RPS, WriteRPS: d.State.WriteRPS, ValueKB: d.State.ValueKB, TxnOps: d.State.TxnOps,
@@ -48,7 +49,7 @@
 	view := world.New(d.Size, log)
 	cache := store.NewCache(client, world.Root, view, log)
 	commit := store.NewCommitter(client, func(ops []wire.Op, rev uint64) { cache.Local(ops, rev) })
-	members := member.New(set.Node, inc, set.Nodes(), client, commit, cache, view, log)
+	members := member.New(set.Node, inc, set.Nodes(), level, client, commit, cache, view, log)
 	workers := fleet.New(set, view, members, cache.Fresh, log, rt)
 	peers, err := lines(workers)
 	if err != nil {
@@ -58,7 +59,7 @@
 	cloud := pool.NewCloud(set.Outside.Cloud, d.Cloud.RPS, d.Size, rt)
 	machines := pool.New(set, op, view, members, engine, cloud, commit, log)
 	outcomes := pipeline.New(view, client, log)
-	levels := upgrade.New(set, view, members, commit, client, log)
+	levels := upgrade.New(set, level, view, members, commit, client, log)
 	users := intake.New(set, view, client, commit, cache, workers, log)
 	return &Node{handler: users.Handler(), runs: []func(context.Context) error{
 		cache.Run, commit.Run, members.Run, workers.Run, engine.Run, engine.Learn, engine.Hints, machines.Run, peers.Run, outcomes.Run, levels.Run,
--- /dev/null
+++ b/internal/standin/pipeline_test.go
@@ -0,0 +1,188 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"sableusher/internal/config"
+	"sableusher/internal/tuning"
+	"sableusher/internal/wire"
+	"sableusher/internal/world"
+)
+
+// graph draws a pipeline: each job awaits some of those before it.
+func graph(rnd *rand.Rand, first, jobs int) []wire.Spec {
+	var out []wire.Spec
+	for i := range jobs {
+		s := wire.Spec{ID: fmt.Sprintf("run-%06d", first+i), Class: fmt.Sprintf("p%d", i%4), Team: []string{"open", "bound"}[rnd.IntN(2)],
+			Kind: wire.KindArray, Priority: wire.PriorityLow, Tasks: 1 + rnd.IntN(8), CPUs: 1, MemoryGB: 4, Image: fmt.Sprintf("img-%d", rnd.IntN(3)),
+			ImageGB: 1, EstimateS: 8, Spot: rnd.IntN(2) == 0}
+		if rnd.IntN(4) == 0 {
+			s.Kind, s.Tasks, s.OneZone = wire.KindGang, 1+rnd.IntN(3), true
+		}
+		for k := range i {
+			if rnd.IntN(3) == 0 || k == i-1 && rnd.IntN(2) == 0 {
+				s.Awaits = append(s.Awaits, out[k].ID)
+			}
+		}
+		if i == jobs-1 {
+			s.Priority, s.DeadlineS = wire.PriorityHigh, 120
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// pipeline plays a pipeline's user: each job is submitted once those that it
+// awaits are accepted.
+func (r *Region) pipeline(ctx context.Context, specs []wire.Spec, cancel map[string]time.Duration) {
+	for _, s := range specs {
+		r.wg.Go(func() {
+			for !r.Oracle.Accepted(s.Awaits) {
+				time.Sleep(200 * time.Millisecond)
+				if ctx.Err() != nil {
+					return
+				}
+			}
+			r.User(ctx, s, 6, cancel[s.ID])
+		})
+	}
+}
+
+// upgradeDay plays a day on which controllers of the version before are replaced
+// one by one, with crashes and cuts, then pipelines come and the state service's
+// limits fall.
+func upgradeDay(t *testing.T, seed uint64) {
+	rnd := rand.New(rand.NewPCG(seed, 17))
+	ctx, cancel := context.WithCancel(context.Background())
+	var out io.Writer = io.Discard
+	if os.Getenv("STANDIN_LOG") != "" {
+		out = os.Stderr
+	}
+	log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	settings := func(i int) *config.Settings {
+		s := testSettings(i)
+		s.Deployment.State.Next = &config.StateLimits{WriteRPS: 56, ValueKB: 2, TxnOps: 10}
+		return s
+	}
+	r := NewRegion(ctx, settings(0), testTypes, 12, rand.New(rand.NewPCG(seed, 18)), log)
+	active := false
+	r.State.Check = func(key string, v wire.Raw) {
+		var job world.JobRecord
+		switch {
+		case key == world.LevelKey:
+			active = true
+			for _, c := range r.nodes {
+				if c.Level < tuning.LevelPipelines {
+					r.State.Broken = append(r.State.Broken, "activated while "+c.Set.Node+" was old")
+				}
+			}
+		case strings.HasPrefix(key, "s/u/") && !active, strings.HasPrefix(key, "s/catalog/") && !active:
+			r.State.Broken = append(r.State.Broken, "new form before activation: "+key)
+		case strings.HasPrefix(key, "s/j/"):
+			if wire.Decode(v, &job) == nil && !active && (job.Width > 0 || len(job.Groups) > 0 || len(job.Spec.Awaits) > 0) {
+				r.State.Broken = append(r.State.Broken, "new form before activation: "+key)
+			}
+		}
+	}
+	for i := range 3 {
+		r.nodes = append(r.nodes, &Controller{Set: settings(i), Address: settings(i).Listen})
+		r.Start(i)
+	}
+	// Work that lasts through the upgrade, with records that outgrow what is to come.
+	for i := range 16 {
+		spec, run, stop := testSpec(rnd, i+1)
+		at := time.Duration(rnd.IntN(90)) * time.Second
+		if i < 3 {
+			spec, run, stop, at = wire.Spec{ID: spec.ID, Class: "wide", Team: "open", Kind: wire.KindArray, Priority: wire.PriorityNormal,
+				Tasks: 90 + 90*i, CPUs: 0.5, MemoryGB: 2, Image: "img-0", ImageGB: 1, EstimateS: 30}, 60, time.Duration(i/2)*70*time.Second, 5*time.Second
+		}
+		r.wg.Go(func() {
+			time.Sleep(at)
+			r.User(ctx, spec, run, stop)
+		})
+	}
+	time.Sleep(30 * time.Second)
+	for _, i := range rnd.Perm(3) {
+		r.Kill(i)
+		if rnd.IntN(3) == 0 { // another ends as well, and comes back as what it was
+			j := (i + 1) % 3
+			r.Kill(j)
+			r.wg.Go(func() {
+				time.Sleep(4 * time.Second)
+				r.Start(j)
+			})
+		}
+		time.Sleep(5 * time.Second)
+		r.nodes[i].Level = tuning.Level
+		r.Start(i)
+		if rnd.IntN(3) == 0 {
+			r.Net.Cut(Cut{r.nodes[rnd.IntN(3)].Set.Node, "state", rnd.IntN(2) == 0, time.Now().Add(time.Duration(4+rnd.IntN(10)) * time.Second)})
+		}
+		time.Sleep(time.Duration(4+rnd.IntN(8)) * time.Second)
+	}
+	first := 101
+	for range 4 {
+		specs := graph(rnd, first, 4+rnd.IntN(6))
+		first += len(specs)
+		stops := map[string]time.Duration{}
+		if rnd.IntN(2) == 0 {
+			stops[specs[rnd.IntN(len(specs))].ID] = time.Duration(1+rnd.IntN(30)) * time.Second
+		}
+		r.pipeline(ctx, specs, stops)
+	}
+	time.Sleep(time.Duration(rnd.IntN(20)) * time.Second)
+	r.State.Lower(56, 10, 2)
+	for range 4 {
+		time.Sleep(time.Duration(1+rnd.IntN(15)) * time.Second)
+		log.Info("TROUBLE", "what", fault(r, rnd))
+	}
+	for range 90 {
+		time.Sleep(5 * time.Second)
+		if len(r.Oracle.Unfinished()) == 0 && r.Oracle.Accepted([]string{fmt.Sprintf("run-%06d", first-1)}) {
+			break
+		}
+	}
+	time.Sleep(60 * time.Second)
+	left, level := r.Oracle.Unfinished(), active
+	size, key := r.State.Largest("s/")
+	cancel()
+	r.Wait()
+	time.Sleep(3 * time.Minute)
+	if len(r.Oracle.Broken)+len(r.State.Broken) > 0 {
+		t.Errorf("broken:\n%s\n%s", strings.Join(r.Oracle.Broken, "\n"), strings.Join(r.State.Broken, "\n"))
+	}
+	if len(left) > 0 || !level {
+		t.Errorf("never finished: %v; activated: %v", left, level)
+	}
+	if size > 2048 {
+		t.Errorf("%s still takes %d bytes", key, size)
+	}
+	// Some requests were on their way when the limits fell, or activation was late.
+	if r.State.Oversize > 40 {
+		t.Errorf("%d requests refused for their size", r.State.Oversize)
+	}
+}
+
+// TestUpgradeDays drives pipelines, a rolling upgrade and falling limits through
+// generated days. UPGRADE_DAYS plays more of them.
+func TestUpgradeDays(t *testing.T) {
+	days := 5
+	if n, err := strconv.Atoi(os.Getenv("UPGRADE_DAYS")); err == nil {
+		days = n
+	}
+	for seed := range uint64(days) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { upgradeDay(t, seed+1) })
+		})
+	}
+}
--- a/internal/standin/region.go
+++ b/internal/standin/region.go
@@ -16,6 +16,7 @@
 	"sableusher/internal/config"
 	"sableusher/internal/node"
 	"sableusher/internal/peer"
+	"sableusher/internal/tuning"
 	"sableusher/internal/wire"
 	"sableusher/internal/world"
 )
@@ -24,6 +25,7 @@
 type Controller struct {
 	Set     *config.Settings
 	Address string
+	Level   int // of the version that it runs; set before Start
 	stop    context.CancelFunc
 	alive   *atomic.Bool
 	ended   chan struct{}
@@ -150,7 +152,7 @@
 
 // Add adds a controller and starts it.
 func (r *Region) Add(set *config.Settings) {
-	r.nodes = append(r.nodes, &Controller{Set: set, Address: set.Listen})
+	r.nodes = append(r.nodes, &Controller{Set: set, Address: set.Listen, Level: tuning.Level})
 	r.Start(len(r.nodes) - 1)
 }
 
@@ -168,7 +170,7 @@
 	inc := r.rnd.Uint64N(1<<40) + 1
 	r.mu.Unlock()
 	var witness peer.Witness
-	n, err := node.New(c.Set, op, inc, r.Net.From(c.Set.Node, alive.Load), func(w peer.Witness) (node.Lines, error) {
+	n, err := node.New(c.Set, op, inc, c.Level, r.Net.From(c.Set.Node, alive.Load), func(w peer.Witness) (node.Lines, error) {
 		witness = w
 		return lines{r, c}, nil
 	}, r.Log.With("node", c.Set.Node))
--- a/internal/standin/region_test.go
+++ b/internal/standin/region_test.go
@@ -333,6 +333,18 @@
 			o.Answer("run-1", 404, "")
 		}}},
 		"invented": {{"200", nil, func(o *Oracle) { o.Answer("run-2", 200, wire.JobPending) }}},
+		"too_early": {{"before its need", func(s *wire.Spec) { s.Awaits = []string{"run-0"} }, func(o *Oracle) {
+			o.Submitted(wire.Spec{ID: "run-0", Team: "open", Kind: wire.KindArray, Tasks: 1})
+			o.On(ref(0), at("a", "large", "east", false))
+		}}},
+		"orphaned": {{"through another", func(s *wire.Spec) { s.Awaits = []string{"run-0"} }, func(o *Oracle) {
+			o.Submitted(wire.Spec{ID: "run-00", Team: "open", Kind: wire.KindArray, Tasks: 1})
+			o.Submitted(wire.Spec{ID: "run-0", Team: "open", Kind: wire.KindArray, Tasks: 1, Awaits: []string{"run-00"}})
+			o.Cancelling("run-00")
+			o.Answer("run-00", 200, wire.JobCancelled)
+			time.Sleep(45 * time.Second)
+			o.Answer("run-1", 200, wire.JobPending)
+		}}},
 		"not_done": {{"early", nil, func(o *Oracle) {
 			o.Completed(ref(0))
 			o.Answer("run-1", 200, wire.JobDone)
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -39,14 +39,15 @@
 	owner  Owner
 	commit Committer
 	limits Limits
+	newest int // the newest level that this process reads
 	log    *slog.Logger
 	told   string // what activation waits for, as last logged
 	level  int    // as last logged
 }
 
-// New makes the duty.
-func New(set *config.Settings, w *world.World, o Owner, c Committer, l Limits, log *slog.Logger) *Upgrade {
-	return &Upgrade{set: set, world: w, owner: o, commit: c, limits: l, log: log}
+// New makes the duty of a process that reads records up to a level.
+func New(set *config.Settings, newest int, w *world.World, o Owner, c Committer, l Limits, log *slog.Logger) *Upgrade {
+	return &Upgrade{set: set, newest: newest, world: w, owner: o, commit: c, limits: l, log: log}
 }
 
 // Run looks at the levels after each change of the view, until ctx ends.
@@ -75,7 +76,7 @@
 	u.world.RUnlock()
 	if level != u.level {
 		u.level = level
-		u.log.Info("form of records", "level", level, "newest", tuning.Level)
+		u.log.Info("form of records", "level", level, "newest", u.newest)
 		if level >= tuning.LevelPipelines {
 			u.limits.Lower()
 		}
@@ -100,7 +101,7 @@
 // makes it fail. A node that is down or cut off has no session and is waited for.
 // Callers hold the world's lock.
 func (u *Upgrade) activation() (*store.Item, string) {
-	if u.world.Level >= tuning.Level {
+	if u.world.Level >= u.newest {
 		return nil, ""
 	}
 	_, stamp, leads := u.owner.Owns(world.Leader)
@@ -110,7 +111,7 @@
 	guards := []wire.Guard{{Key: world.LevelKey, Stamp: u.world.LevelStamp}, {Key: world.PartKey(world.Leader), Stamp: stamp}}
 	for _, name := range u.set.Nodes() {
 		n, live := u.world.Nodes[name]
-		if !live || n.Level < tuning.Level {
+		if !live || n.Level < u.newest {
 			return nil, name
 		}
 		guards = append(guards, wire.Guard{Key: world.NodeKey(name), Stamp: n.Stamp})
@@ -118,5 +119,5 @@
 	if len(guards) > tuning.GuardsPerOp*u.limits.TxnOps() {
 		return nil, "more nodes than one transaction has conditions"
 	}
-	return &store.Item{Guards: guards, Ops: []wire.Op{store.Set(world.LevelKey, world.LevelRecord{Level: tuning.Level})}, Urgent: true}, ""
+	return &store.Item{Guards: guards, Ops: []wire.Op{store.Set(world.LevelKey, world.LevelRecord{Level: u.newest})}, Urgent: true}, ""
 }
