--- a/internal/standin/pipeline_test.go
+++ b/internal/standin/pipeline_test.go
@@ -104,7 +104,7 @@
 		at := time.Duration(rnd.IntN(90)) * time.Second
 		if i < 3 {
 			spec, run, stop, at = wire.Spec{ID: spec.ID, Class: "wide", Team: "open", Kind: wire.KindArray, Priority: wire.PriorityNormal,
-				Tasks: 90 + 90*i, CPUs: 0.5, MemoryGB: 2, Image: "img-0", ImageGB: 1, EstimateS: 30}, 60, time.Duration(i/2)*70*time.Second, 5*time.Second
+				Tasks: 90 + 90*i, CPUs: 0.5, MemoryGB: 2, Image: "img-0", ImageGB: 1, EstimateS: 100}, 130, time.Duration(i/2)*100*time.Second, 5*time.Second
 		}
 		r.wg.Go(func() {
 			time.Sleep(at)
