--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -96,12 +96,26 @@
 		}
 		select {
 		case <-ctx.Done():
+			m.leave(context.WithoutCancel(ctx), hold)
 			return ctx.Err()
 		case <-tick.C:
 		}
 	}
 }
 
+// leave ends the session of a node that stops in order, so that the others take
+// its parts at once rather than when the session would have run out.
+func (m *Member) leave(ctx context.Context, hold uint64) {
+	if hold == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, tuning.StopGrace/2)
+	defer cancel()
+	if err := m.client.CloseHold(ctx, hold); err != nil {
+		m.log.Info("session left to run out", "err", err)
+	}
+}
+
 // home is the node a part belongs to when all are well.
 func (m *Member) home(part int) string {
 	if part == world.Leader {
--- a/internal/place/doom.go
+++ b/internal/place/doom.go
@@ -3,12 +3,20 @@
 import (
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+
 	"sableusher/internal/store"
 	"sableusher/internal/tuning"
 	"sableusher/internal/wire"
 	"sableusher/internal/world"
 )
 
+var (
+	fallen = promauto.NewCounter(prometheus.CounterOpts{Name: "sableusher_jobs_fallen_total", Help: "Jobs cancelled with one that they need."})
+	moved  = promauto.NewCounter(prometheus.CounterOpts{Name: "sableusher_records_moved_total", Help: "Steps in which old job records were split."})
+)
+
 // doom ends the jobs that fall with one that they need. Such a job never had a
 // task, so one change turns its record into the final one. The cause is in the
 // records of what it needs: whoever owns its part can go on from those alone, and
@@ -25,6 +33,7 @@
 			continue
 		}
 		n++
+		fallen.Inc()
 		r.out = append(r.out, &change{what: "end " + id + " with what it needs", keys: []string{key}, late: true, item: store.Item{
 			Guards: []wire.Guard{{Key: key, Stamp: j.Stamp}}, Ops: r.final(j, wire.JobCancelled, j.Done), Urgent: true,
 		}})
@@ -57,6 +66,7 @@
 			return
 		}
 		n++
+		moved.Inc()
 		c := &change{what: "move records of " + id, late: true, item: store.Item{Guards: guards, Ops: ops}}
 		for _, g := range guards {
 			c.keys = append(c.keys, g.Key)
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -14,6 +14,8 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
 	"golang.org/x/time/rate"
 
 	"sableusher/internal/tuning"
@@ -35,6 +37,9 @@
 	ErrRefused = errors.New("refused")
 )
 
+var refusals = promauto.NewCounterVec(prometheus.CounterOpts{Name: "sableusher_state_refusals_total",
+	Help: "Requests that the state service refused: for its rate, or a transaction for its form or size."}, []string{"why"})
+
 // Limits are the service's budget, of which a node uses the share that SetShare
 // gives it, and its sizes.
 type Limits struct {
@@ -224,6 +229,7 @@
 		}
 		return http.StatusOK, b, nil
 	case http.StatusTooManyRequests:
+		refusals.WithLabelValues("rate").Inc()
 		c.refused()
 		return resp.StatusCode, b, ErrUnavailable
 	case http.StatusServiceUnavailable:
@@ -303,6 +309,7 @@
 		}
 		return res, ErrGuard
 	case status != http.StatusOK:
+		refusals.WithLabelValues("form").Inc()
 		return res, fmt.Errorf("%w: transaction: status %d", ErrRefused, status)
 	}
 	return res, nil
@@ -321,6 +328,12 @@
 	return res.Hold, err
 }
 
+// CloseHold ends a lease, and with it what is attached to it.
+func (c *Client) CloseHold(ctx context.Context, hold uint64) error {
+	_, _, err := c.call(ctx, http.MethodDelete, fmt.Sprintf("/holds/%d", hold), nil, nil, tuning.StateTimeout)
+	return err
+}
+
 // TouchHold renews a lease; ErrNotFound if it has ended.
 func (c *Client) TouchHold(ctx context.Context, hold uint64) error {
 	if err := c.pace(ctx, true); err != nil {
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -9,6 +9,9 @@
 	"log/slog"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+
 	"sableusher/internal/config"
 	"sableusher/internal/store"
 	"sableusher/internal/tuning"
@@ -16,6 +19,9 @@
 	"sableusher/internal/world"
 )
 
+var levelGauge = promauto.NewGauge(prometheus.GaugeOpts{Name: "sableusher_record_level",
+	Help: "The form of records that is written: the newest that all nodes were seen to read."})
+
 // Committer commits items.
 type Committer interface {
 	Do(ctx context.Context, it store.Item) (uint64, error)
@@ -76,6 +82,7 @@
 	u.world.RUnlock()
 	if level != u.level {
 		u.level = level
+		levelGauge.Set(float64(level))
 		u.log.Info("form of records", "level", level, "newest", u.newest)
 		if level >= tuning.LevelPipelines {
 			u.limits.Lower()
