Tasks beside GPU work prefer ordinary machines

Cause: arrays of a pipeline lost tasks with spot machines that were taken back; each costs its run time and the time until the loss is noticed, and the stage waits for it. Ruled out: the wait between stages (1 to 3 s in the middle).

--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -491,18 +491,20 @@
 // those in use, so that others stay whole. Tasks without GPUs go beside GPU work.
 func (r *round) choose(du *due, fit []*node, z *zones, also func(*node) bool) []*node {
 	spec := &du.job.Spec
-	var tiers [16][]*node
+	var tiers [32][]*node
 	for _, n := range fit {
 		if n.kept != "" && n.kept != spec.ID || also != nil && !also(n) || !z.open(n.m.Zone) {
 			continue
 		}
 		t := 0
 		if n.kept == "" {
-			t |= 8
+			t |= 16
 		}
 		fetches := !r.holds(spec.Image, n)
 		if besides := du.need.GPUs == 0 && n.capacity.GPUs > 0; besides {
-			t |= bit(!r.beside(du.need, n), 4) | bit(n.free.GPUs == n.capacity.GPUs, 2) | bit(fetches, 1)
+			// A machine is there anyway, so the cheap kind saves nothing; one that is
+			// taken back takes the task's run time with it.
+			t |= bit(!r.beside(du.need, n), 8) | bit(n.free.GPUs == n.capacity.GPUs, 4) | bit(n.m.Spot, 2) | bit(fetches, 1)
 		} else {
 			t |= bit(!n.m.Spot, 4) | bit(fetches, 2) | bit(n.free == n.capacity, 1)
 		}
