--- a/internal/intake/awaits.go
+++ b/internal/intake/awaits.go
@@ -20,13 +20,13 @@
 // lay chooses the layout of a new job's records; it says why if the job's
 // description is more than one record may hold, now or under the limits that are
 // known to come.
-func (in *Intake) lay(rec *world.JobRecord, level int) string {
+func lay(rec *world.JobRecord, level int, fit world.Fit) string {
 	bare := world.BareSize(*rec)
-	width := world.WidthFor(&rec.Spec, bare, in.commit.LeastRoom())
+	width := fit.Width(&rec.Spec, bare)
 	if width == 0 {
 		return "its description, awaits included, takes more than the state service holds in one record"
 	}
-	if level >= tuning.LevelPipelines && bare+rec.Spec.Tasks*tuning.TaskBytes > in.commit.LeastRoom() {
+	if level >= tuning.LevelPipelines && !fit.Holds(&rec.Spec, bare) {
 		rec.Width = width
 	}
 	return ""
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -149,6 +149,7 @@
 	other := known && !sameAwaits(live.Spec.Awaits, spec.Awaits)
 	types, level := len(in.world.Types), in.world.Level
 	why := in.impossible(spec)
+	fit := in.world.Fit(in.commit.LeastRoom())
 	in.world.RUnlock()
 	if other {
 		wire.Reply(w, http.StatusUnprocessableEntity, wire.Problem{Error: "another job has this id: it awaits other jobs"})
@@ -156,7 +157,7 @@
 	}
 	rec := world.JobRecord{Spec: *spec, AtMs: time.Now().UnixMilli()}
 	if why == "" {
-		why = in.lay(&rec, level)
+		why = lay(&rec, level, fit)
 	}
 	if !known {
 		// A job that is known stands, whatever the repeated request says now.
@@ -377,9 +378,9 @@
 	}
 	marked := *j
 	marked.CancelMs = max(time.Now().UnixMilli(), 1)
-	if room := in.commit.Room(); in.world.Level >= tuning.LevelPipelines && j.Outgrows(room) {
+	if fit := in.world.Fit(in.commit.Room()); in.world.Level >= tuning.LevelPipelines && j.Outgrows(fit) {
 		// The record as it is could be too large to be written again.
-		if guards, ops, ok := marked.Move(room, 0); ok {
+		if guards, ops, ok := marked.Move(fit, 0); ok {
 			return store.Item{Guards: guards, Ops: ops, Urgent: true}, true
 		}
 	}
--- a/internal/place/doom.go
+++ b/internal/place/doom.go
@@ -48,11 +48,11 @@
 	if r.world.Level < tuning.LevelPipelines {
 		return
 	}
-	room, n := r.commit.Room(), 0
+	fit, n := r.world.Fit(r.commit.Room()), 0
 	move := func(id string) {
 		delete(r.moves, id)
 		j := r.world.Jobs[id]
-		if j == nil || !j.Known || !j.Outgrows(room) || r.busy[world.JobKey(id)] || n >= tuning.MoveRound {
+		if j == nil || !j.Known || !j.Outgrows(fit) || r.busy[world.JobKey(id)] || n >= tuning.MoveRound {
 			return
 		}
 		for k := range j.Chunks {
@@ -60,7 +60,7 @@
 				return
 			}
 		}
-		guards, ops, ok := j.Move(room, tuning.MoveRound)
+		guards, ops, ok := j.Move(fit, tuning.MoveRound)
 		if !ok || len(ops) > r.commit.TxnOps() {
 			r.waiting(j, "its records can't be split far enough", nil)
 			return
@@ -84,7 +84,7 @@
 		if n >= tuning.MoveRound {
 			break
 		}
-		if j.Known && j.Outgrows(room) && r.now.Sub(time.UnixMilli(j.AtMs)) > tuning.MoveGap {
+		if j.Known && j.Outgrows(fit) && r.now.Sub(time.UnixMilli(j.AtMs)) > tuning.MoveGap {
 			if _, mine := r.tokens[r.first(j)]; mine {
 				move(id)
 			}
--- a/internal/place/settle.go
+++ b/internal/place/settle.go
@@ -116,7 +116,7 @@
 // outgrown tells whether a job's records have to be moved before they are written
 // again, and asks for it.
 func (r *round) outgrown(j *world.Job) bool {
-	if r.world.Level < tuning.LevelPipelines || !j.Outgrows(r.commit.Room()) {
+	if r.world.Level < tuning.LevelPipelines || !j.Outgrows(r.world.Fit(r.commit.Room())) {
 		return false
 	}
 	r.moves[j.Spec.ID] = true
@@ -127,7 +127,7 @@
 // check a state service with a small limit would refuse the record over and over.
 func (r *round) full(j *world.Job, k int, machine string) bool {
 	room := r.commit.Room()
-	if j.Bare+j.Spec.Tasks*tuning.TaskBytes <= room {
+	if r.world.Fit(room).Holds(&j.Spec, j.Bare) {
 		return false
 	}
 	ed := r.edits[editKey{j, k}]
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -68,17 +68,19 @@
 	// LeastNextKB is the smallest value limit under which records can be split far
 	// enough: a description of 600 bytes and LeastWidth tasks of a gang.
 	LeastNextKB = 1
-	// LeastTxnOps is the least number of changes of a transaction that the
-	// splitting of one old record of ChunkTasks tasks may need at 2 KiB.
-	LeastTxnOps = 6
+	// LeastTxnOps is the least number of changes of a transaction to come: one old
+	// record is split into ChunkTasks/LeastWidth, and the job's own is written too.
+	LeastTxnOps = 10
 	// JSONShare of a value limit is used where the JSON form is measured: the
 	// service may write its numbers and separators a little longer than we do.
 	JSONShare = 0.85
 	// LeastWidth is the fewest tasks a record is made for.
-	LeastWidth = 8
+	LeastWidth = 16
 	// TaskBytes is what a bound task takes in a record, as JSON: state, attempt,
-	// machine, session, charge and number, each longer than is ever seen.
+	// machine, session, charge and number, each longer than is ever seen, and a
+	// machine's name of up to TaskName; longer names add what they are longer.
 	TaskBytes = 40
+	TaskName  = 20
 	// LikelyTaskBytes is what a task of an array takes as a rule: tasks on the same
 	// machine stand together. A record in which they do not takes fewer at a time.
 	LikelyTaskBytes = 20
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -153,6 +153,8 @@
 
 	rentalOf map[string]string // of machines that an open rental lists
 
+	longest int // of the machines' names so far
+
 	catalog []wire.MachineType          // as one record, and
 	types   map[string]wire.MachineType // where that is too long, one by one
 
@@ -542,6 +544,7 @@
 	}
 	m = &Machine{Name: name, Part: PartOf(name, w.Size), Bound: map[TaskRef]Binding{}, Images: map[string]int{}}
 	w.Machines[name] = m
+	w.longest = max(w.longest, len(name))
 	list := w.ByPart[m.Part]
 	at, _ := slices.BinarySearchFunc(list, name, byName)
 	w.ByPart[m.Part] = slices.Insert(list, at, m)
