--- a/internal/place/settle.go
+++ b/internal/place/settle.go
@@ -483,6 +483,7 @@
 		c.item.Guards = append(c.item.Guards, wire.Guard{Key: k, Stamp: guards[k]})
 	}
 	c.item.Urgent = j.Spec.Priority == wire.PriorityProduction
+	c.item.Soon = r.rank(j) <= wire.Rank(wire.PriorityHigh)
 	r.out = append(r.out, c)
 }
 
--- a/internal/store/commit.go
+++ b/internal/store/commit.go
@@ -15,9 +15,10 @@
 type Item struct {
 	Guards []wire.Guard
 	Ops    []wire.Op
-	// Urgent items (sessions, ownership, acceptance, cancellation) go first,
-	// Lazy ones, which nothing waits for, last.
+	// Urgent items (sessions, ownership, acceptance, cancellation) go first, then
+	// Soon ones (work of high priority), Lazy ones, which nothing waits for, last.
 	Urgent bool
+	Soon   bool
 	Lazy   bool
 }
 
@@ -45,16 +46,19 @@
 	done  chan outcome
 }
 
-// class orders items: lower goes first. A lazy one that has waited counts as any
-// other, or it would never have its turn.
+// class orders items: lower goes first. One that has waited for long counts as if
+// it were of the class before, or it would never have its turn.
 func (p *pending) class(now time.Time) int {
+	waited := now.Sub(p.since)
 	switch {
 	case p.Urgent:
 		return 0
-	case p.Lazy && now.Sub(p.since) < tuning.LazyPatience:
-		return 2
+	case p.Soon || !p.Lazy && waited > tuning.SoonPatience:
+		return 1
+	case p.Lazy && waited < tuning.LazyPatience:
+		return 3
 	}
-	return 1
+	return 2
 }
 
 type outcome struct {
--- a/internal/store/commit_test.go
+++ b/internal/store/commit_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math"
 	"net/http"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -85,3 +86,32 @@
 		}
 	})
 }
+
+// TestWorkOfHighPriorityGoesFirst: while the budget is the bottleneck a change waits
+// for seconds, and a pipeline has several in a row; but what has waited long must
+// not wait for ever behind what keeps coming.
+func TestWorkOfHighPriorityGoesFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := NewCommitter(NewClient("127.0.0.1:1", Limits{RPS: 1, WriteRPS: 1, TxnOps: 1}, nil), func([]wire.Op, uint64) {})
+		add := func(key string, it Item) {
+			it.Ops = []wire.Op{Set(key, 1)}
+			go func() { _, _ = c.Do(t.Context(), it) }()
+			synctest.Wait()
+		}
+		add("old", Item{})
+		time.Sleep(tuning.SoonPatience + time.Second)
+		add("lazy", Item{Lazy: true})
+		add("other", Item{})
+		add("soon", Item{Soon: true})
+		add("urgent", Item{Urgent: true})
+		var got []string
+		for range 5 {
+			batch := c.take(1)
+			got = append(got, batch[0].Ops[0].Key())
+			batch[0].done <- outcome{}
+		}
+		if want := []string{"urgent", "old", "soon", "other", "lazy"}; !slices.Equal(got, want) {
+			t.Errorf("order %v, want %v", got, want)
+		}
+	})
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -35,6 +35,9 @@
 	CommitLanes = 3
 	// LazyPatience is how long a lazy change waits behind all others.
 	LazyPatience = 2 * time.Second
+	// SoonPatience is how long other changes wait behind those of work of high
+	// priority. While the budget is the bottleneck they wait some seconds anyway.
+	SoonPatience = 5 * time.Second
 	// CommitQueue bounds the items that wait for a transaction.
 	CommitQueue = 4096
 	// StateTimeout is how long a request to the state service may take: usual
