--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -89,8 +89,9 @@
 		}
 	}
 	if missing != u.told {
-		u.told = missing
-		u.log.Info("new form of records waits for a node", "waits", missing)
+		if u.told = missing; missing != "" {
+			u.log.Info("new form of records waits for a node", "missing", missing)
+		}
 	}
 	if item == nil {
 		return
