--- a/internal/standin/pipeline_test.go
+++ b/internal/standin/pipeline_test.go
@@ -142,6 +142,15 @@
 	}
 	time.Sleep(time.Duration(rnd.IntN(20)) * time.Second)
 	r.State.Lower(56, 10, 2)
+	// Gangs of tiny tasks: one that takes most of a transaction, one that takes
+	// several. They take long to play, so one day has them.
+	for i, tasks := range []int{200, 500} {
+		wide := wire.Spec{ID: fmt.Sprintf("run-%06d", 90+i), Class: "wide", Team: "open", Kind: wire.KindGang, Priority: wire.PriorityNormal,
+			Tasks: tasks, CPUs: 0.05, MemoryGB: 0.1, Image: "img-0", ImageGB: 1, EstimateS: 10}
+		if seed == 1 {
+			r.wg.Go(func() { r.User(ctx, wide, 10, 0) })
+		}
+	}
 	for range 4 {
 		time.Sleep(time.Duration(1+rnd.IntN(15)) * time.Second)
 		log.Info("TROUBLE", "what", fault(r, rnd))
