Clean-up: one way to read a record, one list of cut-offs, one seed for generated tests

What stood twice and now stands once: reading and decoding a final record (intake twice, resolver), the deadlines of a job and the first that can still be met (own and pulled), when a job may start, the longest machine's name, a packet's way through a cut, the tests' seeding. A repeated submission no longer measures a record that is not written. Dead code goes: compareKinds, Net.chance, RoundJobs, a comment that was not true. A gang's records are looked at once each, for all tasks that they are to take rather than for one: a stricter check, where the service would have refused the record.

--- a/internal/intake/awaits.go
+++ b/internal/intake/awaits.go
@@ -76,19 +76,13 @@
 		return refuse(why)
 	}
 	for _, a := range unseen {
-		if _, ok := in.final(a); ok {
-			continue
-		}
-		row, err := in.records.Get(ctx, world.FinalKey(a))
-		if errors.Is(err, store.ErrNotFound) {
+		switch _, err := in.readFinal(ctx, a); {
+		case errors.Is(err, store.ErrNotFound):
 			return refuse("awaits " + a + ", which was never accepted")
-		}
-		var f world.FinalRecord
-		if err != nil || wire.Decode(row.Value, &f) != nil {
+		case err != nil:
 			unavailable(w, "state service away")
 			return false
 		}
-		in.remember(a, f)
 	}
 	return true
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -23,11 +23,6 @@
 	"sableusher/internal/world"
 )
 
-// Records is what the intake needs of the state service.
-type Records interface {
-	Get(ctx context.Context, key string) (wire.Row, error)
-}
-
 // Committer commits items.
 type Committer interface {
 	Do(ctx context.Context, it store.Item) (uint64, error)
@@ -50,7 +45,7 @@
 // Intake is the server's handlers.
 type Intake struct {
 	world   *world.World
-	records Records
+	records store.Reader
 	commit  Committer
 	view    View
 	workers Workers
@@ -64,7 +59,7 @@
 }
 
 // New makes the handlers.
-func New(set *config.Settings, w *world.World, rec Records, c Committer, v View, workers Workers, log *slog.Logger) *Intake {
+func New(set *config.Settings, w *world.World, rec store.Reader, c Committer, v View, workers Workers, log *slog.Logger) *Intake {
 	in := &Intake{world: w, records: rec, commit: c, view: v, workers: workers, teams: map[string]config.Team{}, log: log,
 		slots: make(chan struct{}, tuning.BusyRequests), finals: map[string]world.FinalRecord{}}
 	for _, t := range set.Deployment.Teams {
@@ -155,11 +150,11 @@
 		wire.Reply(w, http.StatusUnprocessableEntity, wire.Problem{Error: "another job has this id: it awaits other jobs"})
 		return
 	}
-	rec := world.JobRecord{Spec: *spec, AtMs: time.Now().UnixMilli()}
-	if why == "" {
-		why = lay(&rec, level, fit)
-	}
 	if !known {
+		rec := world.JobRecord{Spec: *spec, AtMs: time.Now().UnixMilli()}
+		if why == "" {
+			why = lay(&rec, level, fit)
+		}
 		// A job that is known stands, whatever the repeated request says now.
 		if why != "" {
 			switch status, err := in.status(ctx, spec.ID); {
@@ -275,15 +270,10 @@
 	}
 	in.world.RUnlock()
 	// Not live after the barrier: it is over, or was never accepted before it.
-	row, err := in.records.Get(ctx, world.FinalKey(id))
+	f, err := in.readFinal(ctx, id)
 	if err != nil {
 		return wire.Status{}, err
 	}
-	var f world.FinalRecord
-	if err := wire.Decode(row.Value, &f); err != nil {
-		return wire.Status{}, err
-	}
-	in.remember(id, f)
 	return finalStatus(id, f), nil
 }
 
@@ -315,6 +305,18 @@
 	return f, ok
 }
 
+// readFinal gives a job's final record, which is read once.
+func (in *Intake) readFinal(ctx context.Context, id string) (world.FinalRecord, error) {
+	if f, ok := in.final(id); ok {
+		return f, nil
+	}
+	f, err := store.Read[world.FinalRecord](ctx, in.records, world.FinalKey(id))
+	if err == nil {
+		in.remember(id, f)
+	}
+	return f, err
+}
+
 // remember keeps the newest final records; they never change.
 func (in *Intake) remember(id string, f world.FinalRecord) {
 	in.mu.Lock()
--- a/internal/learn/learner.go
+++ b/internal/learn/learner.go
@@ -260,11 +260,7 @@
 				list[i] = short(list[i])
 			}
 			p := last(wire.JSONSize(wire.MustEncode(map[string][]float64{class: list})))
-			to := []*map[string][]float64{&p.Runs, &p.Ratios}[i]
-			if *to == nil {
-				*to = map[string][]float64{}
-			}
-			(*to)[class] = list
+			add([]*map[string][]float64{&p.Runs, &p.Ratios}[i], map[string][]float64{class: list})
 		}
 	}
 	for i := range out {
@@ -288,15 +284,19 @@
 		return errors.New("pieces of different times")
 	}
 	s.Weights = append(s.Weights, piece.Weights...)
-	for to, from := range map[*map[string][]float64]map[string][]float64{&s.Runs: piece.Runs, &s.Ratios: piece.Ratios} {
-		if *to == nil {
-			*to = map[string][]float64{}
-		}
-		maps.Copy(*to, from)
-	}
+	add(&s.Runs, piece.Runs)
+	add(&s.Ratios, piece.Ratios)
 	return nil
 }
 
+// add copies lists into a map that may not be made yet.
+func add(to *map[string][]float64, from map[string][]float64) {
+	if *to == nil {
+		*to = map[string][]float64{}
+	}
+	maps.Copy(*to, from)
+}
+
 // Save gives the readout's durable form.
 func (l *Learner) Save() Saved {
 	l.mu.Lock()
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -12,25 +12,19 @@
 
 	"sableusher/internal/store"
 	"sableusher/internal/tuning"
-	"sableusher/internal/wire"
 	"sableusher/internal/world"
 )
 
-// Reader reads single records.
-type Reader interface {
-	Get(ctx context.Context, key string) (wire.Row, error)
-}
-
 // Resolver reads the final records of awaited jobs into the view.
 type Resolver struct {
 	world  *world.World
-	reader Reader
+	reader store.Reader
 	log    *slog.Logger
 	asked  map[string]time.Time // when a record was last not there, or not to be read
 }
 
 // New makes a resolver.
-func New(w *world.World, r Reader, log *slog.Logger) *Resolver {
+func New(w *world.World, r store.Reader, log *slog.Logger) *Resolver {
 	return &Resolver{world: w, reader: r, log: log, asked: map[string]time.Time{}}
 }
 
@@ -72,13 +66,10 @@
 	g.SetLimit(tuning.OutcomeLanes)
 	for i, id := range ids {
 		g.Go(func() error {
-			row, err := r.reader.Get(ctx, world.FinalKey(id))
-			if err == nil {
-				err = wire.Decode(row.Value, &answers[i].rec)
-			}
+			rec, err := store.Read[world.FinalRecord](ctx, r.reader, world.FinalKey(id))
 			// Not there: this view is older than the job, or the job is live again in it
 			// soon. It proves nothing either way.
-			if answers[i].ok = err == nil; err != nil && !errors.Is(err, store.ErrNotFound) {
+			if answers[i] = (answer{rec, err == nil}); err != nil && !errors.Is(err, store.ErrNotFound) {
 				r.log.Debug("final record not read", "job", id, "err", err)
 			}
 			return nil
--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -55,7 +55,7 @@
 	valued    map[string]valued
 	demand    Demand
 	values    values
-	reader    Reader
+	reader    store.Reader
 	peers     Peers
 	asked     time.Time
 	vetoes    map[string]veto            // silent machines, by what the peers said
@@ -104,7 +104,7 @@
 }
 
 // New makes an engine.
-func New(set *config.Settings, op *config.Operator, w *world.World, m *member.Member, f *fleet.Fleet, c *store.Committer, reader Reader, peers Peers, log *slog.Logger) *Engine {
+func New(set *config.Settings, op *config.Operator, w *world.World, m *member.Member, f *fleet.Fleet, c *store.Committer, reader store.Reader, peers Peers, log *slog.Logger) *Engine {
 	return &Engine{
 		set: set, op: op, world: w, member: m, fleet: f, commit: c, quota: quota.New(set.Deployment.Teams, w), log: log,
 		busy: map[string]bool{}, moving: map[uint64]*change{}, backoff: map[string]retry{}, waits: map[string]wait{}, look: map[string]struct{}{}, valued: map[string]valued{},
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -61,7 +61,7 @@
 	r.assuredAt, r.assured = r.now, map[string]bool{}
 	teams := map[string][]*world.Job{}
 	for _, j := range r.world.Jobs {
-		if _, ok := r.quota.Guarantee(j.Spec.Team); ok && j.Known && !j.Cancelled() && !j.Waits() {
+		if _, ok := r.quota.Guarantee(j.Spec.Team); ok && j.Startable() {
 			teams[j.Spec.Team] = append(teams[j.Spec.Team], j)
 		}
 	}
@@ -85,7 +85,7 @@
 func (r *round) queue(room bool) []due {
 	var out []due
 	for id, j := range r.world.Jobs {
-		if !j.Known || j.Cancelled() || j.Pending() == 0 || j.Waits() {
+		if !j.Startable() || j.Pending() == 0 {
 			continue
 		}
 		if b, ok := r.backoff[id]; ok && r.now.Before(b.until) {
@@ -135,25 +135,54 @@
 	maps.DeleteFunc(r.held, func(_ string, h reserve) bool { return r.now.After(h.until) })
 }
 
+// run is how long a task of a job is expected to run.
+func (r *round) run(j *world.Job) time.Duration {
+	return config.Seconds(r.values.runs.RunS(j.Spec.Class, j.Spec.EstimateS))
+}
+
+// cutoffs are a job's own deadline and the multiples of it that its class's aims
+// name, counted from its submission; none without a deadline.
+func (r *round) cutoffs(j *world.Job) []time.Time {
+	if j.Spec.DeadlineS <= 0 {
+		return nil
+	}
+	after := func(times float64) time.Time {
+		return time.UnixMilli(j.AtMs).Add(config.Seconds(j.Spec.DeadlineS * times))
+	}
+	out := []time.Time{after(1)}
+	for _, o := range r.set.Deployment.Objectives {
+		if o.Class == j.Spec.Class && o.Kind == "deadline" && o.Times > 0 {
+			out = append(out, after(o.Times))
+		}
+	}
+	return out
+}
+
+// reachable gives the first of some times by which a run can still be over, else
+// the last, and the slack that is left.
+func (r *round) reachable(aims []time.Time, run time.Duration) (at time.Time, slack time.Duration) {
+	slices.SortFunc(aims, time.Time.Compare)
+	for _, at = range aims {
+		if slack = at.Sub(r.now) - run; slack >= 0 {
+			break
+		}
+	}
+	return at, slack
+}
+
 // deadline is when a job should be over by what its user or its class's aims
 // say: the next such time that can still be met, else the last. It is pressing
 // when little slack is left.
 func (r *round) deadline(j *world.Job) (time.Time, bool) {
 	// A deadline counts from the submission, all else from when the job could start.
-	sent, at := time.UnixMilli(j.AtMs), j.Since()
-	run := config.Seconds(r.values.runs.RunS(j.Spec.Class, j.Spec.EstimateS))
-	var aims []time.Time
-	if j.Spec.DeadlineS > 0 {
-		aims = append(aims, sent.Add(config.Seconds(j.Spec.DeadlineS)))
-	}
+	at, run, aims := j.Since(), r.run(j), r.cutoffs(j)
 	for _, o := range r.set.Deployment.Objectives {
 		switch {
-		case o.Class != j.Spec.Class:
-		case o.Kind == "deadline" && j.Spec.DeadlineS > 0 && o.Times > 0:
-			aims = append(aims, sent.Add(config.Seconds(j.Spec.DeadlineS*o.Times)))
-		case o.Kind == "wait" && o.WithinS > 0:
+		case o.Class != j.Spec.Class || o.WithinS <= 0:
+		case o.Kind == "deadline" && j.Spec.DeadlineS > 0 && o.Times > 0: // one of the cutoffs
+		case o.Kind == "wait":
 			aims = append(aims, at.Add(config.Seconds(o.WithinS)+run))
-		case o.WithinS > 0:
+		default:
 			aims = append(aims, at.Add(config.Seconds(o.WithinS)))
 		}
 	}
@@ -163,13 +192,8 @@
 	if len(aims) == 0 {
 		return at.Add(tuning.NoDeadline), false
 	}
-	slices.SortFunc(aims, time.Time.Compare)
-	for _, d := range aims {
-		if slack := d.Sub(r.now) - run; slack >= 0 {
-			return d, slack < max(tuning.DeadlineGuardMin, time.Duration(tuning.DeadlineGuard*float64(run)))
-		}
-	}
-	return aims[len(aims)-1], false
+	by, slack := r.reachable(aims, run)
+	return by, slack >= 0 && slack < max(tuning.DeadlineGuardMin, time.Duration(tuning.DeadlineGuard*float64(run)))
 }
 
 // zones is where the tasks of one record of a job stand, and what the rules
@@ -588,7 +612,7 @@
 		if t.State != world.Idle {
 			continue
 		}
-		if r.full(j, k, picks[0].m.Name) {
+		if r.full(j, k, 1, picks[0].m.Name) {
 			r.waiting(j, "its record is full", nil)
 			i = hi - 1
 			continue
@@ -637,7 +661,7 @@
 	ed.tasks[i] = t
 	ed.parts[charge] = true
 	ed.parts[n.m.Part] = true
-	ed.size += len(n.m.Name) + tuning.TaskBytes/2
+	ed.size += bindBytes(n.m.Name)
 	b := bind{ref, n.m.Name, charge, team, du.need}
 	ed.binds = append(ed.binds, b)
 	r.move(b)
@@ -707,9 +731,15 @@
 		return
 	}
 	// All or nothing: the grant must cover it whole, and its records must hold it.
-	if slices.ContainsFunc(idle, func(i int) bool { return r.full(j, j.RecordOf(i), picks[0].m.Name) }) {
-		r.waiting(j, "its records are full", nil)
-		return
+	adds := map[int]int{} // tasks by record
+	for _, i := range idle {
+		adds[j.RecordOf(i)]++
+	}
+	for k, n := range adds {
+		if r.full(j, k, n, picks[0].m.Name) {
+			r.waiting(j, "its records are full", nil)
+			return
+		}
 	}
 	if !r.quota.Allowed(du.home, spec.Team, r.use(du.home, spec.Team).Plus(du.need, float64(len(picks)))) {
 		r.waiting(j, "its team's grant in this part", nil)
--- a/internal/place/settle.go
+++ b/internal/place/settle.go
@@ -123,26 +123,24 @@
 	return true
 }
 
-// full tells whether a record has no room for one more bound task. Without the
-// check a state service with a small limit would refuse the record over and over.
-func (r *round) full(j *world.Job, k int, machine string) bool {
+// bindBytes is the most that binding a task to a machine adds to its record, as JSON.
+func bindBytes(machine string) int { return len(machine) + tuning.TaskBytes/2 }
+
+// full tells whether a record has no room for so many more bound tasks. Without
+// the check a state service with a small limit would refuse the record over and over.
+func (r *round) full(j *world.Job, k, more int, machine string) bool {
 	room := r.commit.Room()
 	if r.world.Fit(room).Holds(&j.Spec, j.Bare) {
 		return false
 	}
 	ed := r.edits[editKey{j, k}]
-	if ed != nil && ed.size > 0 {
-		return ed.size+len(machine)+tuning.TaskBytes/2 > room
-	}
-	var change map[int]world.Task
-	if ed != nil {
-		change = ed.tasks
+	if ed == nil {
+		ed = &edit{} // nothing of it has changed in this round
 	}
-	size := j.Size(k, change)
-	if ed != nil {
-		ed.size = size
+	if ed.size == 0 {
+		ed.size = j.Size(k, ed.tasks)
 	}
-	return size+len(machine)+tuning.TaskBytes/2 > room
+	return ed.size+more*bindBytes(machine) > room
 }
 
 // task is a task's state with this round's changes.
@@ -458,8 +456,6 @@
 	}
 	single := len(j.Further()) == 0 && j.Records() == 1
 	switch {
-	// A job in several records is ended with its last task too, if that is one more
-	// change: what is left of them goes with it.
 	case single && done == j.Spec.Tasks:
 		c.item.Ops = r.final(j, wire.JobDone, done)
 	case single && j.Cancelled() && bound == 0:
--- a/internal/place/value.go
+++ b/internal/place/value.go
@@ -17,11 +17,6 @@
 	"sableusher/internal/world"
 )
 
-// Reader reads single records.
-type Reader interface {
-	Get(ctx context.Context, key string) (wire.Row, error)
-}
-
 // attempt names one start of a task.
 type attempt struct {
 	ref world.TaskRef
@@ -151,8 +146,9 @@
 		}
 		up := r.pulled(w)
 		out.rank = min(out.rank, up.rank, wire.Rank(j.Spec.Priority))
-		if by := earlier(up.by, r.cutoff(j)); !by.IsZero() {
-			out.by = earlier(out.by, by.Add(-config.Seconds(r.values.runs.RunS(j.Spec.Class, j.Spec.EstimateS))))
+		own, _ := r.reachable(r.cutoffs(j), r.run(j))
+		if by := earlier(up.by, own); !by.IsZero() {
+			out.by = earlier(out.by, by.Add(-r.run(j)))
 		}
 	}
 	if r.pulls == nil {
@@ -170,29 +166,6 @@
 	return a
 }
 
-// cutoff is the deadline of a job that can still be met, or its last; none
-// without a deadline.
-func (r *round) cutoff(j *world.Job) time.Time {
-	if j.Spec.DeadlineS <= 0 {
-		return time.Time{}
-	}
-	sent, times := time.UnixMilli(j.AtMs), []float64{1}
-	for _, o := range r.set.Deployment.Objectives {
-		if o.Class == j.Spec.Class && o.Kind == "deadline" && o.Times > 0 {
-			times = append(times, o.Times)
-		}
-	}
-	slices.Sort(times)
-	run := config.Seconds(r.values.runs.RunS(j.Spec.Class, j.Spec.EstimateS))
-	var at time.Time
-	for _, t := range times {
-		if at = sent.Add(config.Seconds(j.Spec.DeadlineS * t)); at.Sub(r.now) >= run {
-			break
-		}
-	}
-	return at
-}
-
 // rank is a job's priority, raised to that of a job that needs it. Production
 // stays for services that users watch: what only leads to something is never
 // above high, so that a long pipeline can't push them aside.
@@ -205,7 +178,7 @@
 	s := learn.State{Shares: map[string]float64{}, NextFreeS: math.Inf(1)}
 	waiting := 0.0
 	for _, j := range r.world.Jobs {
-		if !j.Known || j.Cancelled() || j.Waits() {
+		if !j.Startable() {
 			continue
 		}
 		run := r.values.runs.RunS(j.Spec.Class, j.Spec.EstimateS)
@@ -357,18 +330,8 @@
 		case <-save.C:
 			s := e.values.learner.Save()
 			e.values.runs.Save(&s)
-			e.world.RLock()
-			level := e.world.Level
-			e.world.RUnlock()
-			item := store.Item{Ops: []wire.Op{store.Set(key, s)}}
-			if level >= tuning.LevelPipelines {
-				item.Ops = nil
-				for i, piece := range s.Split(e.commit.Room(), time.Now().UnixMilli()) {
-					item.Ops = append(item.Ops, store.Set(world.LearnPieceKey(e.set.Node, i), piece))
-				}
-			}
 			cctx, cancel := context.WithTimeout(ctx, tuning.CommitTimeout)
-			if _, err := e.commit.Do(cctx, item); err != nil {
+			if _, err := e.commit.Do(cctx, store.Item{Ops: e.saving(key, s)}); err != nil {
 				e.log.Debug("values not saved", "err", err)
 			}
 			cancel()
@@ -376,6 +339,21 @@
 	}
 }
 
+// saving gives the changes that save what was learned, in the form that is written.
+func (e *Engine) saving(key string, s learn.Saved) []wire.Op {
+	e.world.RLock()
+	level := e.world.Level
+	e.world.RUnlock()
+	if level < tuning.LevelPipelines {
+		return []wire.Op{store.Set(key, s)}
+	}
+	var ops []wire.Op
+	for i, piece := range s.Split(e.commit.Room(), time.Now().UnixMilli()) {
+		ops = append(ops, store.Set(world.LearnPieceKey(e.set.Node, i), piece))
+	}
+	return ops
+}
+
 // read reads a record, again and again while the state service doesn't answer.
 func (e *Engine) read(ctx context.Context, key string) (learn.Saved, error) {
 	for {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -249,10 +249,6 @@
 	p.shrink(ctx, lead, d, bins)
 }
 
-func compareKinds(a, b kind) int {
-	return cmp.Or(cmp.Compare(a.typ, b.typ), cmp.Compare(a.zone, b.zone), cmp.Compare(fmt.Sprint(a.spot), fmt.Sprint(b.spot)))
-}
-
 // bins packs what found no room into machines to be rented, and adds the step
 // and the minimum.
 func (p *Pool) bins(d place.Demand) []bin {
@@ -481,10 +477,7 @@
 func (p *Pool) rentMax() int {
 	p.world.RLock()
 	defer p.world.RUnlock()
-	longest := tuning.NameBytes
-	for name := range p.world.Machines {
-		longest = max(longest, len(name))
-	}
+	longest := max(tuning.NameBytes, p.world.LongestName())
 	return max(1, min(tuning.RentMax, (p.commit.Room()-tuning.RentalBytes)/(longest+len(`"",`))))
 }
 
--- a/internal/standin/net.go
+++ b/internal/standin/net.go
@@ -83,10 +83,15 @@
 	return d
 }
 
-func (n *Net) chance(p float64) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.rnd.Float64() < p
+// passes lets a packet travel between two hosts, and wait while a cut holds it
+// back; false if a cut resets its connection.
+func (n *Net) passes(a, b string) bool {
+	time.Sleep(n.delay())
+	c, ok := n.cut(a, b)
+	if ok && c.Hold {
+		time.Sleep(time.Until(c.Until) + n.delay())
+	}
+	return !ok || c.Hold
 }
 
 type dialer struct {
@@ -127,13 +132,9 @@
 	}
 	out := make(chan reply, 1)
 	go func() {
-		time.Sleep(d.net.delay())
-		if c, ok := d.net.cut(d.from, h.Name); ok {
-			if !c.Hold {
-				out <- reply{err: errReset}
-				return
-			}
-			time.Sleep(time.Until(c.Until) + d.net.delay())
+		if !d.net.passes(d.from, h.Name) {
+			out <- reply{err: errReset}
+			return
 		}
 		for !h.Up() { // hanging: it may go on later
 			time.Sleep(100 * time.Millisecond)
@@ -159,13 +160,9 @@
 			out <- reply{err: errReset} // the process ended before it could answer
 			return
 		}
-		time.Sleep(d.net.delay())
-		if c, ok := d.net.cut(d.from, h.Name); ok {
-			if !c.Hold {
-				out <- reply{err: errReset}
-				return
-			}
-			time.Sleep(time.Until(c.Until) + d.net.delay())
+		if !d.net.passes(d.from, h.Name) {
+			out <- reply{err: errReset}
+			return
 		}
 		out <- reply{rec: rec}
 	}()
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -72,30 +72,33 @@
 		rt = wire.Transport(tuning.StateTimeout, tuning.IdleConns, tuning.IdleConns)
 	}
 	c := &Client{
-		base: "http://" + addr, http: &http.Client{Transport: rt}, limits: l, next: l, slow: 1,
+		base: "http://" + addr, http: &http.Client{Transport: rt}, limits: l, slow: 1,
 		reqs: rate.NewLimiter(0, 0), urgent: rate.NewLimiter(0, 0), writes: rate.NewLimiter(0, 0),
 	}
 	if l.Share == 0 {
 		c.limits.Share = 1
 	}
+	c.next = c.limits
 	c.SetShare(c.limits.Share)
 	return c
 }
 
-// Expect tells the limits that the service will have from some moment on. Small
+// Expect tells the limits that the service will have from some moment on, none of
+// them above those of today. Small
 // transactions are taken by any service and read by any version, so they are kept
 // to at once; records and rates follow with Lower.
 func (c *Client) Expect(next Limits) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	next.Share = c.limits.Share
 	c.next = next
-	c.limits.TxnOps = min(c.limits.TxnOps, next.TxnOps)
+	c.limits.TxnOps = next.TxnOps
 }
 
 // Lower keeps to the limits that are known to come from now on.
 func (c *Client) Lower() {
 	c.mu.Lock()
-	c.limits.RPS, c.limits.WriteRPS, c.limits.ValueKB = min(c.limits.RPS, c.next.RPS), min(c.limits.WriteRPS, c.next.WriteRPS), min(c.limits.ValueKB, c.next.ValueKB)
+	c.limits = c.next
 	share := c.share
 	c.mu.Unlock()
 	c.SetShare(share)
@@ -120,7 +123,7 @@
 func (c *Client) LeastRoom() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return int(min(c.limits.ValueKB, c.next.ValueKB) * 1024 * tuning.JSONShare)
+	return int(c.next.ValueKB * 1024 * tuning.JSONShare)
 }
 
 // refused lowers the pace of writes after a 429; each node that is refused does.
@@ -256,6 +259,21 @@
 	return row, nil
 }
 
+// Reader reads single records.
+type Reader interface {
+	Get(ctx context.Context, key string) (wire.Row, error)
+}
+
+// Read reads and decodes one record. ErrNotFound alone proves that it is not there.
+func Read[T any](ctx context.Context, r Reader, key string) (T, error) {
+	var rec T
+	row, err := r.Get(ctx, key)
+	if err == nil {
+		err = wire.Decode(row.Value, &rec)
+	}
+	return rec, err
+}
+
 // List reads one page of the keys under prefix that come after a key.
 func (c *Client) List(ctx context.Context, prefix, after string) (wire.Rows, error) {
 	if err := c.pace(ctx, false); err != nil {
--- a/internal/store/main_test.go
+++ b/internal/store/main_test.go
@@ -1,14 +1,9 @@
 package store
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"sableusher/internal/seeded"
 )
 
-// TestMain seeds the generators, so that every run gives the same verdict; a
-// seed on the command line replaces it.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m) }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -245,8 +245,6 @@
 	DealHold = 600 * time.Millisecond
 	// RoundTasks bounds the tasks bound in one round.
 	RoundTasks = 96
-	// RoundJobs bounds the jobs looked at in one round.
-	RoundJobs = 400
 	// PressedItems is how many changes wait for the state service's budget when
 	// it counts as the bottleneck: then room is given to arrays PressedGap at a
 	// time, so that one write binds many tasks.
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"io"
 	"log/slog"
-	"os"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -18,13 +16,6 @@
 	"sableusher/internal/world"
 )
 
-// TestMain seeds the generators, so that every run gives the same verdict; a
-// seed on the command line replaces it.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	os.Exit(m.Run())
-}
-
 // region is a state service, and the views of nodes that lag behind it.
 type region struct {
 	t      *rapid.T
--- a/internal/world/layout.go
+++ b/internal/world/layout.go
@@ -265,6 +265,9 @@
 // of their JSON form.
 type Fit struct{ Room, Task int }
 
+// LongestName is the length of the longest machine's name so far. Callers hold the lock.
+func (w *World) LongestName() int { return w.longest }
+
 // Fit gives it for the machines' names that were seen. Callers hold the lock.
 func (w *World) Fit(room int) Fit {
 	return Fit{room, tuning.TaskBytes + max(0, w.longest-tuning.TaskName)}
--- a/internal/world/layout_test.go
+++ b/internal/world/layout_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"maps"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -59,34 +60,14 @@
 // again reads all records anew, in any order, as a node does that starts.
 func (s *shelf) again(t *rapid.T) *World {
 	w := New(3, slog.New(slog.NewTextHandler(io.Discard, nil)))
-	keys := make([]string, 0, len(s.rows))
-	for _, k := range rapid.Permutation(sortedKeys(s.rows)).Draw(t, "listed") {
-		keys = append(keys, k)
-	}
 	w.Begin()
-	for _, k := range keys {
+	for _, k := range rapid.Permutation(slices.Sorted(maps.Keys(s.rows))).Draw(t, "listed") {
 		w.Put(k, s.rows[k], s.stamps[k])
 	}
 	w.Flush()
 	return w
 }
 
-func sortedKeys(m map[string]wire.Raw) []string {
-	out := make([]string, 0, len(m))
-	for k := range m {
-		out = append(out, k)
-	}
-	// rapid needs the same input for the same draws.
-	for i := range out {
-		for k := i + 1; k < len(out); k++ {
-			if out[k] < out[i] {
-				out[i], out[k] = out[k], out[i]
-			}
-		}
-	}
-	return out
-}
-
 // TestRecordsMoveUnderWrites changes tasks of jobs of every size in every layout
 // while their records are moved, with writers that look away in between, and
 // compares with a plain map: nothing is lost, nothing written twice, and what is
@@ -187,7 +168,7 @@
 			t.Fatalf("records were not moved to the end: width %d, wide %d", j.Width, j.Wide)
 		}
 		s.view.Begin()
-		for _, k := range sortedKeys(s.rows) {
+		for _, k := range slices.Sorted(maps.Keys(s.rows)) {
 			s.view.Drop(k)
 		}
 		s.view.Flush()
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -62,6 +62,9 @@
 	return Task{Index: i}
 }
 
+// Startable tells whether tasks of the job may start, as far as its records go.
+func (j *Job) Startable() bool { return j.Known && !j.Cancelled() && !j.Waits() }
+
 // Settled tells whether no task of a record waits.
 func (j *Job) Settled(k int) bool {
 	return k < len(j.Chunks) && len(j.Chunks[k].Tasks) > 0 && j.Chunks[k].idle == 0
