Leases go on through a cut; cancellations are told once no task is left

Cause: in a zone that was cut off for 56 s some 480 tasks ended with their leases, though the zone works on inside: most of its workers belong to owners outside, and the node inside stopped renewing once its view was 16 s old, as a cancellation that it had not seen might have been told.

Change: `cancelled` is told once no task of the job is bound, 503 before; from record level 2 leases are renewed on a view of any age, without orders; a node that is cut off answers the workers of an owner out of reach under the token that they know; a worker that has seen a higher token is sent on, as it would drop the answer and stay; a process that stood still believes nothing until its view is confirmed. The level is raised to the highest all read.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -36,6 +36,9 @@
 	kicks    chan string
 	adopt    map[string]wire.Report
 	news     map[string]struct{} // machines whose reports told something new
+	reached  func(node string) time.Time
+	pulse    time.Time // when this process was last seen to run
+	thaw     time.Time // when it last went on after it had stood still
 }
 
 // New makes the fleet; fresh tells as of when the view is complete.
@@ -86,6 +89,39 @@
 	return time.Duration(float64(free)*(1-2*tuning.ClockDrift)) - tuning.LeaseMargin
 }
 
+// Reach tells the fleet how to learn when another node last answered this one.
+func (f *Fleet) Reach(reached func(node string) time.Time) { f.reached = reached }
+
+// keeps tells whether leases may be renewed on a view of some time. Where a
+// cancellation is told once no task is left, a lease that is renewed without knowing of
+// one breaks no promise, and a zone that is cut off works on. Otherwise it must end in
+// time. A process that stood still believes nothing until its view is confirmed. Callers
+// hold both locks.
+func (f *Fleet) keeps(now, fresh time.Time) bool {
+	if !f.pulse.IsZero() && now.Sub(f.pulse) > tuning.FreezeGap {
+		f.thaw = now
+	}
+	f.pulse = now
+	if fresh.IsZero() || f.thaw.After(fresh) {
+		return false
+	}
+	return f.world.Level >= tuning.LevelCertain || now.Sub(fresh) <= f.staleLimit()
+}
+
+// caretake renews the lease of a worker whose owner is out of reach, as is this node's
+// own way to the state service: both are cut off together. It gives no orders. The worker
+// takes an answer with the token it has seen; one that has seen a higher one has a
+// newer owner. Callers hold both locks.
+func (f *Fleet) caretake(r *wire.Report, part int, now, fresh time.Time) (wire.Orders, bool) {
+	p, known := f.world.Parts[part]
+	rec := f.world.Machines[r.Machine]
+	if !known || r.Token > p.Token || rec == nil || rec.Gone || now.Sub(fresh) < tuning.SessionTTL || !f.keeps(now, fresh) ||
+		f.reached == nil || now.Sub(f.reached(p.Owner)) < tuning.OwnerLost {
+		return wire.Orders{}, false
+	}
+	return wire.Orders{Token: p.Token, Orders: []wire.Order{}}, true
+}
+
 // Beat answers a worker's report.
 func (f *Fleet) Beat(r *wire.Report) (int, any) {
 	now := time.Now()
@@ -95,7 +131,11 @@
 	token, entitled := f.member.Entitled(part)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	fresh := f.fresh()
 	if !entitled {
+		if out, ok := f.caretake(r, part, now, fresh); ok {
+			return http.StatusOK, out
+		}
 		owner, live := f.member.OwnerOf(part)
 		last := f.bounced[r.Machine]
 		f.bounced[r.Machine] = now
@@ -107,8 +147,12 @@
 		delete(f.machines, r.Machine)
 		return http.StatusMisdirectedRequest, wire.Redirect{ReportTo: owner}
 	}
-	fresh := f.fresh()
-	if fresh.IsZero() || now.Sub(fresh) > f.staleLimit() {
+	if r.Token > token {
+		// It has a newer owner, of whom this node does not know yet. It would drop our
+		// answer and stay here all the same, until its lease has run out.
+		return http.StatusMisdirectedRequest, wire.Redirect{}
+	}
+	if !f.keeps(now, fresh) {
 		return http.StatusServiceUnavailable, nil
 	}
 	rec := f.world.Machines[r.Machine]
@@ -128,6 +172,9 @@
 		f.learned(r.Machine)
 	}
 	out := wire.Orders{Token: token, Orders: []wire.Order{}}
+	if now.Sub(fresh) > f.staleLimit() {
+		return http.StatusOK, out // the tasks it has go on, nothing starts
+	}
 	if rec == nil || !rec.Up || rec.Address != r.Address || max(rec.Session, 1) != r.Session {
 		f.adopt[r.Machine] = *r
 		f.poke()
@@ -202,10 +249,14 @@
 	defer wg.Wait()
 	tick := time.NewTicker(f.set.Report())
 	defer tick.Stop()
+	pulse := time.NewTicker(tuning.PulseEvery)
+	defer pulse.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-pulse.C:
+			f.beats()
 		case name := <-f.kicks:
 			if f.lanes.Acquire(ctx, 1) != nil {
 				return ctx.Err()
@@ -220,6 +271,15 @@
 	}
 }
 
+// beats notes that this process runs.
+func (f *Fleet) beats() {
+	f.world.RLock()
+	defer f.world.RUnlock()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.keeps(time.Now(), f.fresh())
+}
+
 // sweep forgets what no record and no report needs any more.
 func (f *Fleet) sweep() {
 	f.world.RLock()
@@ -412,7 +472,7 @@
 }
 
 // Images gives the machines of this node by the images that they are believed
-// to hold, for the other nodes.
+// to hold, for placement here and on the other nodes.
 func (f *Fleet) Images() map[string][]string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,132 @@
+package fleet
+
+import (
+	"io"
+	"log/slog"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"sableusher/internal/config"
+	"sableusher/internal/member"
+	"sableusher/internal/store"
+	"sableusher/internal/tuning"
+	"sableusher/internal/wire"
+	"sableusher/internal/world"
+)
+
+// desk is a node that answers reports on a view of some age.
+type desk struct {
+	*Fleet
+	fresh, reached time.Time
+	world          *world.World
+}
+
+// newDesk makes the node "a" of two; it owns part 0, "b" part 1.
+func newDesk(level int) *desk {
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	set := &config.Settings{Node: "a"}
+	d := &set.Deployment
+	d.Size, d.Workers.ReportS, d.Workers.LeaseS, d.Workers.CancelS = 2, 6, 31, 51
+	w := world.New(2, log)
+	w.Level = level
+	for i, n := range []string{"a", "b"} {
+		w.Nodes[n] = world.Node{NodeRecord: world.NodeRecord{Inc: 1}}
+		w.Parts[i] = world.Part{PartRecord: world.PartRecord{Owner: n, Inc: 1, Token: 5}}
+	}
+	client := store.NewClient("127.0.0.1:1", store.Limits{RPS: 1, WriteRPS: 1, ValueKB: 16, TxnOps: 32}, nil)
+	m := member.New("a", 1, []string{"a", "b"}, tuning.Level, client, nil, store.NewCache(client, world.Root, w, log), w, log)
+	k := &desk{world: w, fresh: time.Now(), reached: time.Now()}
+	k.Fleet = New(set, w, m, func() time.Time { return k.fresh }, log, nil)
+	k.Reach(func(string) time.Time { return k.reached })
+	return k
+}
+
+// machine gives the name of a machine of a part, with a record.
+func (k *desk) machine(part int) string {
+	name := "vm-0"
+	for world.PartOf(name, 2) != part {
+		name += "0"
+	}
+	k.world.Begin()
+	k.world.Put(world.MachineKey(name), wire.MustEncode(world.MachineRecord{Type: "m", Zone: "z", Address: "10.1.0.1:9000", Up: true}), 1)
+	k.world.Flush()
+	return name
+}
+
+func (k *desk) report(name string, seq, token uint64) (int, any) {
+	return k.Beat(&wire.Report{Machine: name, Address: "10.1.0.1:9000", Session: 1, Seq: seq, Token: token})
+}
+
+// TestLeasesThroughACut: on a view that is too old to know of cancellations leases are
+// renewed only where every node tells those late, and then without orders; another
+// owner's workers are kept only if that owner is out of reach too, and under the token
+// that they know.
+func TestLeasesThroughACut(t *testing.T) {
+	for name, c := range map[string]struct {
+		level   int
+		part    int
+		age     time.Duration // of the view
+		reached time.Duration // since the owner answered
+		token   uint64        // that the worker has seen
+		want    int
+	}{
+		"own, fresh":                     {0, 0, 0, 0, 5, http.StatusOK},
+		"own, within the limit":          {0, 0, 15 * time.Second, 0, 5, http.StatusOK},
+		"own, older, told at once":       {1, 0, 17 * time.Second, 0, 5, http.StatusServiceUnavailable},
+		"own, older, told late":          {tuning.LevelCertain, 0, 10 * time.Minute, 0, 5, http.StatusOK},
+		"own, it has a newer owner":      {tuning.LevelCertain, 0, 10 * time.Second, 0, 6, http.StatusMisdirectedRequest},
+		"other's, fresh":                 {tuning.LevelCertain, 1, 0, time.Minute, 5, http.StatusMisdirectedRequest},
+		"other's, its owner in reach":    {tuning.LevelCertain, 1, time.Minute, time.Second, 5, http.StatusMisdirectedRequest},
+		"other's, cut off with it":       {tuning.LevelCertain, 1, time.Minute, time.Minute, 5, http.StatusOK},
+		"other's, within the limit":      {1, 1, 15 * time.Second, time.Minute, 5, http.StatusOK},
+		"other's, older, told at once":   {1, 1, time.Minute, time.Minute, 5, http.StatusMisdirectedRequest},
+		"other's, it has a newer owner":  {tuning.LevelCertain, 1, time.Minute, time.Minute, 6, http.StatusMisdirectedRequest},
+		"other's, it has seen no answer": {tuning.LevelCertain, 1, time.Minute, time.Minute, 0, http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			k := newDesk(c.level)
+			m := k.machine(c.part)
+			k.fresh, k.reached = time.Now().Add(-c.age), time.Now().Add(-c.reached)
+			status, body := k.report(m, 1, c.token)
+			if status != c.want {
+				t.Fatalf("%d, want %d", status, c.want)
+			}
+			if o, ok := body.(wire.Orders); ok && (o.Token != 5 || len(o.Orders) > 0) {
+				t.Errorf("%+v", o)
+			}
+		})
+	}
+}
+
+// TestThawedNodeBelievesNothing: a process that stood still renews no lease, of its own
+// workers or others', until its view is confirmed, at whatever moment it goes on.
+func TestThawedNodeBelievesNothing(t *testing.T) {
+	for _, first := range []string{"report", "pulse"} {
+		synctest.Test(t, func(t *testing.T) {
+			k := newDesk(tuning.LevelCertain)
+			own, others := k.machine(0), k.machine(1)
+			if status, _ := k.report(own, 1, 5); status != http.StatusOK {
+				t.Fatalf("before: %d", status)
+			}
+			time.Sleep(40 * time.Second) // nothing ran
+			if first == "pulse" {
+				k.beats()
+			}
+			for seq := range uint64(3) {
+				if status, _ := k.report(own, 2+seq, 5); status == http.StatusOK {
+					t.Errorf("%s first: renewed its own worker's lease", first)
+				}
+				if status, _ := k.report(others, 2+seq, 5); status == http.StatusOK {
+					t.Errorf("%s first: renewed another's worker's lease", first)
+				}
+				time.Sleep(time.Second)
+			}
+			k.fresh = time.Now()
+			if status, _ := k.report(own, 9, 5); status != http.StatusOK {
+				t.Errorf("%s first: %d once its view is confirmed", first, status)
+			}
+		})
+	}
+}
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -1,5 +1,3 @@
-// Package fleet follows the workers of this node's parts: their reports, the
-// leases that answers renew, and the orders they are given.
 package fleet
 
 import (
@@ -107,7 +105,7 @@
 		clear(m.tasks)
 		clear(m.stray)
 		clear(m.starts)
-		clear(m.images)
+		// Its images are as they were: only tasks end with a lease.
 	}
 	m.seq, m.heard = r.Seq, now
 	m.token = max(m.token, r.Token)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -35,6 +35,9 @@
 type View interface {
 	Sync(ctx context.Context) error
 	Fresh() time.Time
+	// Revision is the one up to which the view holds every change; changes of this
+	// node's own run ahead of it.
+	Revision() uint64
 }
 
 // Workers answers reports.
@@ -261,7 +264,7 @@
 	}
 	in.world.RLock()
 	if j := in.world.Jobs[id]; j != nil && j.Known {
-		st, undecided := live(id, j), in.world.Undecided(j)
+		st, undecided := in.live(id, j), in.world.Undecided(j)
 		in.world.RUnlock()
 		if undecided && st.Status != wire.JobCancelled {
 			return wire.Status{}, errUndecided
@@ -281,10 +284,14 @@
 // record says so it must not be called waiting.
 var errUndecided = errors.New("what it awaits is being looked at")
 
-func live(id string, j *world.Job) wire.Status {
+// live gives the state of a live job. Callers hold the world's lock.
+func (in *Intake) live(id string, j *world.Job) wire.Status {
 	st := wire.Status{ID: id, Status: wire.JobPending, Done: j.Done, Running: j.Bound}
 	switch {
-	case j.Cancelled():
+	case j.Cancelled() && j.Bound == 0 && in.view.Revision() >= j.Stamp:
+		// Told once no task is left, never before: nothing that renews a lease
+		// somewhere behind a cut can then keep one beyond its time. A binding in a
+		// further record may lie just before the cancellation: the view holds it then.
 		st.Status = wire.JobCancelled
 	case j.Done == j.Spec.Tasks:
 		st.Status = wire.JobDone
@@ -340,7 +347,7 @@
 		wire.Reply(w, http.StatusNotFound, wire.Problem{Error: "no such job"})
 		return
 	}
-	for ctx.Err() == nil {
+	for marked := false; ctx.Err() == nil; {
 		st, err := in.status(ctx, id)
 		if errors.Is(err, store.ErrNotFound) {
 			wire.Reply(w, http.StatusNotFound, wire.Problem{Error: "no such job"})
@@ -353,39 +360,68 @@
 			wire.Reply(w, http.StatusOK, wire.Accepted{ID: id, Status: st.Status})
 			return
 		}
-		it, ok := in.cancellation(id)
-		if !ok {
-			continue
+		if it, idle, ok := in.cancellation(id); ok && !marked {
+			if _, err = in.commit.Do(ctx, it); errors.Is(err, store.ErrGuard) {
+				continue
+			} else if err != nil {
+				break
+			}
+			marked = true
+			in.log.Debug("job cancelled", "job", id, "idle", idle)
+			if idle { // nor can any be since: it would have changed the record's stamp
+				wire.Reply(w, http.StatusOK, wire.Accepted{ID: id, Status: wire.JobCancelled})
+				return
+			}
 		}
-		if _, err = in.commit.Do(ctx, it); err == nil {
-			in.log.Debug("job cancelled", "job", id)
-			wire.Reply(w, http.StatusOK, wire.Accepted{ID: id, Status: wire.JobCancelled})
+		if !in.left(ctx, id) {
+			unavailable(w, "its tasks are being stopped")
 			return
 		}
-		if !errors.Is(err, store.ErrGuard) {
-			break
-		}
 	}
 	unavailable(w, "state service away")
 }
 
+// left waits until no task of a cancelled job is on a machine, as far as this view
+// goes, for as long as a cancellation may take.
+func (in *Intake) left(ctx context.Context, id string) bool {
+	ctx, cancel := context.WithTimeout(ctx, tuning.AbortTimeout)
+	defer cancel()
+	look := time.NewTicker(tuning.AbortLook)
+	defer look.Stop()
+	for {
+		in.world.RLock()
+		j := in.world.Jobs[id]
+		over := j == nil || !j.Known || !j.Cancelled() || j.Bound == 0
+		in.world.RUnlock()
+		if over {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-look.C:
+		}
+	}
+}
+
 // cancellation marks a live job's record. The record's stamp guards it, so that
-// no task can be bound under the old one afterwards.
-func (in *Intake) cancellation(id string) (store.Item, bool) {
+// no task can be bound under the old one afterwards. idle tells that none was before.
+func (in *Intake) cancellation(id string) (it store.Item, idle, ok bool) {
 	in.world.RLock()
 	defer in.world.RUnlock()
 	j := in.world.Jobs[id]
 	if j == nil || !j.Known || j.Cancelled() {
-		return store.Item{}, false
+		return store.Item{}, false, false
 	}
+	idle = j.Bound == 0 && j.Records() == 1 // its tasks all stand in the record that is marked
 	marked := *j
 	marked.CancelMs = max(time.Now().UnixMilli(), 1)
 	if fit := in.world.Fit(in.commit.Room()); in.world.Level >= tuning.LevelPipelines && j.Outgrows(fit) {
 		// The record as it is could be too large to be written again.
 		if guards, ops, ok := marked.Move(fit, 0); ok {
-			return store.Item{Guards: guards, Ops: ops, Urgent: true}, true
+			return store.Item{Guards: guards, Ops: ops, Urgent: true}, idle, true
 		}
 	}
 	op := marked.Encode(0, nil)
-	return store.Item{Guards: []wire.Guard{{Key: op.Set, Stamp: j.Stamp}}, Ops: []wire.Op{op}, Urgent: true}, true
+	return store.Item{Guards: []wire.Guard{{Key: op.Set, Stamp: j.Stamp}}, Ops: []wire.Op{op}, Urgent: true}, idle, true
 }
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"sableusher/internal/config"
@@ -27,6 +28,8 @@
 	barrier func() // what the barrier brings into the view
 	syncs   int
 	done    []store.Item
+	applied func(store.Item) // what a change brings into the view
+	seen    uint64           // the view's revision
 }
 
 func (o *outside) Get(_ context.Context, key string) (wire.Row, error) {
@@ -39,6 +42,9 @@
 
 func (o *outside) Do(_ context.Context, it store.Item) (uint64, error) {
 	o.done = append(o.done, it)
+	if o.doErr == nil && o.applied != nil {
+		o.applied(it)
+	}
 	return 1, o.doErr
 }
 
@@ -55,6 +61,8 @@
 
 func (o *outside) Fresh() time.Time { return time.Now() }
 
+func (o *outside) Revision() uint64 { return o.seen }
+
 func (o *outside) Beat(*wire.Report) (int, any) { return http.StatusOK, wire.Orders{Token: 1} }
 
 func (o *outside) put(key string, v any) {
@@ -70,7 +78,7 @@
 
 func setup(catalog bool) (*outside, http.Handler) {
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	o := &outside{world: world.New(3, log), finals: map[string]world.FinalRecord{}}
+	o := &outside{world: world.New(3, log), finals: map[string]world.FinalRecord{}, seen: 7}
 	set := &config.Settings{}
 	set.Deployment.Teams = []config.Team{{Name: "t", GPUsMax: 2}}
 	if catalog {
@@ -181,6 +189,53 @@
 	}
 }
 
+// TestCancellationIsToldOnceCertain: while a task of the job may be on a machine, or the
+// view may lack a binding from just before the cancellation, neither the request
+// nor a poll is told `cancelled`: a controller behind a cut might be renewing its lease.
+func TestCancellationIsToldOnceCertain(t *testing.T) { synctest.Test(t, cancellationIsToldOnceCertain) }
+
+func cancellationIsToldOnceCertain(t *testing.T) {
+	bound := []world.Task{{State: world.Bound, Attempt: 1, Machine: "vm-000001", Session: 1}}
+	abort := func(h http.Handler) (int, wire.Status) {
+		return ask(h, http.MethodPost, "/v1/jobs/run-000001/abort", nil)
+	}
+	poll := func(h http.Handler) string {
+		_, st := ask(h, http.MethodGet, "/v1/jobs/run-000001", nil)
+		return st.Status
+	}
+	o, h := setup(true)
+	o.put(world.JobKey("run-000001"), world.JobRecord{Spec: spec(), Tasks: bound})
+	o.applied = func(store.Item) {
+		o.put(world.JobKey("run-000001"), world.JobRecord{Spec: spec(), Tasks: bound, CancelMs: 5})
+	}
+	if status, _ := abort(h); status != 503 || len(o.done) != 1 {
+		t.Errorf("a task is on a machine: %d, %d writes", status, len(o.done))
+	}
+	if st := poll(h); st != wire.JobRunning {
+		t.Errorf("a task is on a machine: %q", st)
+	}
+	if status, _ := abort(h); status != 503 || len(o.done) != 1 {
+		t.Errorf("asked again: %d, %d writes", status, len(o.done))
+	}
+	o.put(world.JobKey("run-000001"), world.JobRecord{Spec: spec(), CancelMs: 5})
+	if o.seen = 6; poll(h) == wire.JobCancelled {
+		t.Error("told though the view may lack a binding")
+	}
+	o.seen = 7
+	if status, st := abort(h); status != 200 || st.Status != wire.JobCancelled || poll(h) != wire.JobCancelled {
+		t.Errorf("no task is left: %d %q", status, st.Status)
+	}
+	// The exit is seen while the request waits.
+	o, h = setup(true)
+	o.put(world.JobKey("run-000001"), world.JobRecord{Spec: spec(), Tasks: bound})
+	o.applied = func(store.Item) {
+		o.put(world.JobKey("run-000001"), world.JobRecord{Spec: spec(), CancelMs: 5})
+	}
+	if status, st := abort(h); status != 200 || st.Status != wire.JobCancelled {
+		t.Errorf("left while it waits: %d %q", status, st.Status)
+	}
+}
+
 // TestAwaits: what a submission awaits must have been accepted, by live or final
 // record after a barrier; unsure is 503, never 422. Before all nodes know of
 // awaited jobs none is accepted.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -32,6 +33,8 @@
 // Lines are a node's lines to the other nodes.
 type Lines interface {
 	place.Peers
+	// Reached tells when a node last answered this one.
+	Reached(node string) time.Time
 	Run(ctx context.Context) error
 }
 
@@ -55,6 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
+	workers.Reach(peers.Reached)
 	engine := place.New(set, op, view, members, workers, commit, client, peers, log)
 	cloud := pool.NewCloud(set.Outside.Cloud, d.Cloud.RPS, d.Size, rt)
 	machines := pool.New(set, op, view, members, engine, cloud, commit, log)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -55,11 +55,14 @@
 	conns    []*grpc.ClientConn
 	log      *slog.Logger
 	patience time.Duration // how long a question may take
+
+	mu       sync.Mutex
+	answered map[string]time.Time // when each node last did
 }
 
 // New makes the lines to a node's siblings; nothing is sent yet.
 func New(set *config.Settings, w Witness, log *slog.Logger) (*Peers, error) {
-	p := &Peers{self: set.Node, listen: set.Back, witness: w, clients: map[string]peerpb.PeerClient{}, log: log, patience: tuning.PeerTimeout}
+	p := &Peers{self: set.Node, listen: set.Back, witness: w, clients: map[string]peerpb.PeerClient{}, log: log, patience: tuning.PeerTimeout, answered: map[string]time.Time{}}
 	for _, s := range set.Siblings {
 		c, err := grpc.NewClient("passthrough:///"+s.Endpoint, grpc.WithTransportCredentials(insecure.NewCredentials()),
 			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(tuning.PeerMessage)))
@@ -129,6 +132,13 @@
 	return held
 }
 
+// Reached tells when a node last answered this one; zero if it never did.
+func (p *Peers) Reached(node string) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.answered[node]
+}
+
 // askAll puts a question to all other nodes at once and takes in the answers
 // that come in time, one by one.
 func askAll[R any](ctx context.Context, p *Peers, ask func(context.Context, peerpb.PeerClient) (R, error), take func(string, R)) {
@@ -144,6 +154,9 @@
 				p.log.Debug("peer silent", "peer", node, "err", err, "took", time.Since(start))
 				return
 			}
+			p.mu.Lock()
+			p.answered[node] = time.Now()
+			p.mu.Unlock()
 			mu.Lock()
 			defer mu.Unlock()
 			take(node, r)
--- a/internal/standin/net.go
+++ b/internal/standin/net.go
@@ -18,9 +18,11 @@
 
 const fromHeader = "Stand-In-From"
 
-// Cut interrupts what passes between two hosts; "*" matches any.
+// Cut interrupts what passes between two hosts, "*" matches any; or between some hosts,
+// such as those of a zone, and all others.
 type Cut struct {
 	From, To string
+	Inside   map[string]bool
 	Hold     bool // deliver late; otherwise connections are reset
 	Until    time.Time
 }
@@ -64,9 +66,9 @@
 func (n *Net) cut(a, b string) (Cut, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	match := func(p, s string) bool { return p == "*" || p == s }
+	match := func(p, s string) bool { return p != "" && (p == "*" || p == s) }
 	for _, c := range n.cuts {
-		if time.Now().Before(c.Until) && (match(c.From, a) && match(c.To, b) || match(c.From, b) && match(c.To, a)) {
+		if time.Now().Before(c.Until) && (match(c.From, a) && match(c.To, b) || match(c.From, b) && match(c.To, a) || c.Inside[a] != c.Inside[b]) {
 			return c, true
 		}
 	}
--- a/internal/standin/pipeline_test.go
+++ b/internal/standin/pipeline_test.go
@@ -126,7 +126,7 @@
 		r.nodes[i].Level = tuning.Level
 		r.Start(i)
 		if rnd.IntN(3) == 0 {
-			r.Net.Cut(Cut{r.nodes[rnd.IntN(3)].Set.Node, "state", rnd.IntN(2) == 0, time.Now().Add(time.Duration(4+rnd.IntN(10)) * time.Second)})
+			r.Net.Cut(Cut{From: r.nodes[rnd.IntN(3)].Set.Node, To: "state", Hold: rnd.IntN(2) == 0, Until: time.Now().Add(time.Duration(4+rnd.IntN(10)) * time.Second)})
 		}
 		time.Sleep(time.Duration(4+rnd.IntN(8)) * time.Second)
 	}
--- a/internal/standin/region.go
+++ b/internal/standin/region.go
@@ -58,6 +58,13 @@
 	return out
 }
 
+func (l lines) Reached(node string) time.Time {
+	if _, ok := l.others()[node]; ok {
+		return time.Now()
+	}
+	return time.Time{}
+}
+
 func (l lines) Ask(_ context.Context, machines []string) map[string]string {
 	out := map[string]string{}
 	for node, w := range l.others() {
@@ -327,6 +334,37 @@
 	return out
 }
 
+// CutZone cuts a zone off from everything: its machines and the controllers in it.
+func (r *Region) CutZone(zone string, hold bool, until time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	inside := map[string]bool{}
+	for name, w := range r.workers {
+		if w.zone == zone {
+			inside[name] = true
+		}
+	}
+	for _, c := range r.nodes {
+		if c.Set.Zone == zone {
+			inside[c.Set.Node] = true
+		}
+	}
+	r.Net.Cut(Cut{Inside: inside, Hold: hold, Until: until})
+}
+
+// Sessions gives the sessions of the machines of a zone.
+func (r *Region) Sessions(zone string) map[string]uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := map[string]uint64{}
+	for name, w := range r.workers {
+		if w.zone == zone {
+			out[name] = w.session
+		}
+	}
+	return out
+}
+
 // Die stops a machine; it stays in the list as failed.
 func (r *Region) Die(name string) {
 	r.mu.Lock()
--- a/internal/standin/region_test.go
+++ b/internal/standin/region_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"strconv"
@@ -21,10 +22,10 @@
 var testZones = []string{"east", "west", "north"}
 
 func testSettings(i int) *config.Settings {
-	s := &config.Settings{Node: fmt.Sprintf("node-%d", i), Zone: "east", Listen: fmt.Sprintf("10.0.0.%d:8080", i+1)}
+	s := &config.Settings{Node: fmt.Sprintf("node-%d", i), Zone: testZones[i%2], Listen: fmt.Sprintf("10.0.0.%d:8080", i+1)}
 	for j := range 3 {
 		if j != i {
-			s.Siblings = append(s.Siblings, config.Sibling{Node: fmt.Sprintf("node-%d", j), Endpoint: fmt.Sprintf("10.0.0.%d:8081", j+1)})
+			s.Siblings = append(s.Siblings, config.Sibling{Node: fmt.Sprintf("node-%d", j), Zone: testZones[j%2], Endpoint: fmt.Sprintf("10.0.0.%d:8081", j+1)})
 		}
 	}
 	s.Outside.State, s.Outside.Cloud = "10.2.0.1:2379", "10.2.0.2:8443"
@@ -96,7 +97,7 @@
 		})
 	}
 	name := r.nodes[n].Set.Node
-	kind := rnd.IntN(12)
+	kind := rnd.IntN(13)
 	switch kind {
 	case 0:
 		restart(n)
@@ -111,12 +112,12 @@
 	case 3:
 		r.State.Refuse(name, until)
 	case 4:
-		r.Net.Cut(Cut{name, "state", hold, until})
+		r.Net.Cut(Cut{From: name, To: "state", Hold: hold, Until: until})
 	case 5:
-		r.Net.Cut(Cut{name, "*", hold, until})
+		r.Net.Cut(Cut{From: name, To: "*", Hold: hold, Until: until})
 	case 6:
 		for _, m := range r.Machines(false) {
-			r.Net.Cut(Cut{name, m, hold, until})
+			r.Net.Cut(Cut{From: name, To: m, Hold: hold, Until: until})
 		}
 	case 7:
 		if m := one(false); m != "" {
@@ -128,7 +129,7 @@
 		}
 	case 9:
 		if m := one(false); m != "" {
-			r.Net.Cut(Cut{m, "*", hold, until})
+			r.Net.Cut(Cut{From: m, To: "*", Hold: hold, Until: until})
 		}
 	case 10:
 		for _, m := range r.Machines(true) {
@@ -138,6 +139,8 @@
 		}
 	case 11:
 		r.CloudOutage(until)
+	case 12:
+		r.CutZone(testZones[rnd.IntN(3)], hold, until.Add(time.Duration(rnd.IntN(60))*time.Second))
 	}
 	return fmt.Sprintf("%d on %s for %v hold=%v", kind, name, d, hold)
 }
@@ -213,6 +216,99 @@
 	}
 }
 
+// TestZoneThatIsCutWorksOn: for longer than a lease and a cancellation's time a zone with
+// a controller is cut off from everything. No machine in it is deleted, no task in it
+// killed, though most belong to controllers outside; what its users cancel meanwhile is
+// told only once it has ended; and afterwards all goes on with the same sessions.
+func TestZoneThatIsCutWorksOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		r := NewRegion(ctx, testSettings(0), testTypes, 12, rand.New(rand.NewPCG(4, 8)), slog.New(slog.NewTextHandler(io.Discard, nil)))
+		for i := range 3 {
+			r.Add(testSettings(i))
+		}
+		for i := range 9 {
+			spec := wire.Spec{ID: fmt.Sprintf("run-%06d", i+1), Class: "c", Team: "open", Kind: wire.KindService, Priority: wire.PriorityProduction,
+				Tasks: 6, CPUs: 4, GPUs: 1, MemoryGB: 20, Image: "img", ImageGB: 1, Spread: true}
+			stop := 20 * time.Minute
+			if i == 0 {
+				stop = 100 * time.Second // within the cut
+			}
+			r.wg.Go(func() { r.User(ctx, spec, 5, stop) })
+		}
+		time.Sleep(75 * time.Second)
+		before := r.Sessions("west")
+		r.CutZone("west", true, time.Now().Add(100*time.Second))
+		time.Sleep(150 * time.Second)
+		after := r.Sessions("west")
+		gone, killed := 0, 0
+		for name, session := range before {
+			if now, ok := after[name]; !ok {
+				gone++
+			} else if now != session {
+				killed++
+			}
+		}
+		// Those that hold a task of the cancelled service are deleted for it; one or two
+		// stand idle and are returned.
+		if len(before) < 8 || gone > 4 || killed > 0 {
+			t.Errorf("of %d machines %d are gone, %d ended their tasks", len(before), gone, killed)
+		}
+		cancel()
+		r.Wait()
+		time.Sleep(3 * time.Minute)
+		if len(r.Oracle.Broken)+len(r.State.Broken) > 0 {
+			t.Errorf("broken: %v %v", r.Oracle.Broken, r.State.Broken)
+		}
+	})
+}
+
+// TestNodeCutFromStateKeepsNoWorkers: a node that has lost the state service for long loses
+// its parts; its workers must follow their new owner before their leases end. A worker
+// that has seen a higher token drops the answers of the old one and yet stays with it.
+func TestNodeCutFromStateKeepsNoWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		r := NewRegion(ctx, testSettings(0), testTypes, 12, rand.New(rand.NewPCG(6, 8)), slog.New(slog.NewTextHandler(io.Discard, nil)))
+		for i := range 3 {
+			r.Add(testSettings(i))
+		}
+		for i := range 9 {
+			spec := wire.Spec{ID: fmt.Sprintf("run-%06d", i+1), Class: "c", Team: "open", Kind: wire.KindService, Priority: wire.PriorityProduction,
+				Tasks: 6, CPUs: 4, GPUs: 1, MemoryGB: 20, Image: "img", ImageGB: 1, Spread: true}
+			r.wg.Go(func() { r.User(ctx, spec, 5, 20*time.Minute) })
+		}
+		time.Sleep(75 * time.Second)
+		before := map[string]uint64{}
+		for _, z := range testZones {
+			maps.Copy(before, r.Sessions(z))
+		}
+		r.Net.Cut(Cut{From: "node-1", To: "state", Hold: true, Until: time.Now().Add(80 * time.Second)})
+		time.Sleep(120 * time.Second)
+		after := map[string]uint64{}
+		for _, z := range testZones {
+			maps.Copy(after, r.Sessions(z))
+		}
+		gone, killed := 0, 0
+		for name, session := range before {
+			if now, ok := after[name]; !ok {
+				gone++
+			} else if now != session {
+				killed++
+			}
+		}
+		if len(before) < 16 || gone > 3 || killed > 0 {
+			t.Errorf("of %d machines %d are gone, %d ended their tasks", len(before), gone, killed)
+		}
+		cancel()
+		r.Wait()
+		time.Sleep(3 * time.Minute)
+		if len(r.Oracle.Broken)+len(r.State.Broken) > 0 {
+			t.Errorf("broken: %v %v", r.Oracle.Broken, r.State.Broken)
+		}
+	})
+}
+
 // TestLongJobs runs jobs whose tasks take several records, an array and a gang
 // of tiny tasks bound over many rounds, and a gang that no single part can hold.
 func TestLongJobs(t *testing.T) {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -110,6 +110,11 @@
 	SubmitTimeout = 3500 * time.Millisecond
 	// PollTimeout is how long a poll may wait for its barrier; users wait 2 s.
 	PollTimeout = 1600 * time.Millisecond
+	// AbortTimeout is how long a cancellation may wait for the job's tasks to leave
+	// their machines; longer ones are asked again. Most leave within a second.
+	AbortTimeout = 2 * time.Second
+	// AbortLook is how often it is looked whether they have.
+	AbortLook = 50 * time.Millisecond
 	// RetryAfterS is what a shed request is told, in seconds.
 	RetryAfterS = 1
 	// ReadTimeout bounds the reading of one request, so that slow clients hold no sockets.
@@ -183,6 +188,33 @@
 	DeadCap = 0.15
 	// DeadWindow is the window of DeadCap.
 	DeadWindow = 20 * time.Second
+	// PulseEvery is the interval at which a node notes that it runs; a gap of more than
+	// FreezeGap means that it stood still, and that what it believes is to be confirmed.
+	PulseEvery = 500 * time.Millisecond
+	FreezeGap  = 3 * time.Second
+	// OwnerLost is how long a part's owner must not have answered this node, two
+	// rounds of hints, before its workers' leases are renewed here in a cut.
+	OwnerLost = 2 * ImagesEvery
+	// CutInside is how long machines of a zone that is cut off are left alone where a
+	// controller stands in the zone, which renews their leases.
+	CutInside = 2 * time.Minute
+	// CutMachines is the fewest machines of a zone that tell whether it is cut off:
+	// with four, two late reports can't look like it.
+	CutMachines = 4
+	// CutHeard is the share of a zone's machines heard within one report interval
+	// below which it counts as cut off. Nearly all are heard in it as a rule; in the
+	// largest losses on record a third of a zone fell silent at once.
+	CutHeard = 0.25
+	// CutElsewhere is the share of all machines heard meanwhile from which on it is the
+	// zones that are cut off, not this node.
+	CutElsewhere = 0.2
+	// CutOwned is how long a part must be owned, in report intervals, before machines
+	// of it that were never heard tell anything: workers look for the new owner first.
+	CutOwned = 2.0
+	// CutServices is the share of a lease after which machines of a zone that is cut
+	// off are given up if services on them can start elsewhere: shorter cuts are
+	// waited out. At 0.75 all of a zone's replicas started again at once, with its leases.
+	CutServices = 0.4
 	// CancelShare of a cancellation's time may pass before a silent machine is
 	// deleted for it, whatever else speaks for waiting; clocks differ by milliseconds.
 	CancelShare = 0.5
@@ -190,6 +222,9 @@
 	FenceEvery = 5 * time.Second
 	// MachineErrors is how many tasks of different jobs must fail on a machine before it is replaced.
 	MachineErrors = 2
+	// BuriedFor is how long a deleted machine's name is kept in mind: reports that a
+	// cut has held back come minutes late.
+	BuriedFor = 10 * time.Minute
 	// RefuseHold keeps a machine that refused a start out of placement.
 	RefuseHold = 3 * time.Second
 )
@@ -197,10 +232,14 @@
 // Forms of records and pipelines.
 const (
 	// Level is the newest form of records that this version reads and, once all
-	// nodes do, writes: 1 is pipelines and split records, 0 what came before.
-	Level = 1
+	// nodes do, writes: 2 is cancellations that are told once no task is left, 1
+	// pipelines and split records, 0 what came before.
+	Level = 2
 	// LevelPipelines is the first one with jobs that await others.
 	LevelPipelines = 1
+	// LevelCertain is the first one at which every node tells a cancellation only once
+	// no task of the job is left, so that leases may be renewed through a cut.
+	LevelCertain = 2
 	// OutcomeRetry is the pause before a final record that was not there, or could
 	// not be read, is asked for again.
 	OutcomeRetry = 300 * time.Millisecond
@@ -222,6 +261,11 @@
 	// PlaceRest is how many times as long as a round took the next one waits at
 	// least, so that rounds take at most a fifth of the processor.
 	PlaceRest = 4
+	// DemandEvery is the shortest time between two accounts of demand and spare room;
+	// the pool looks at them every PoolTick.
+	DemandEvery = 250 * time.Millisecond
+	// HoldersLife is how long it is kept which of a node's machines hold which images.
+	HoldersLife = 250 * time.Millisecond
 	// AssuredEvery is how often it is looked up anew which jobs lie within their
 	// team's guarantee.
 	AssuredEvery = 250 * time.Millisecond
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -117,15 +117,23 @@
 		return nil, ""
 	}
 	guards := []wire.Guard{{Key: world.LevelKey, Stamp: u.world.LevelStamp}, {Key: world.PartKey(world.Leader), Stamp: stamp}}
+	level, missing := u.newest, ""
 	for _, name := range u.set.Nodes() {
 		n, live := u.world.Nodes[name]
-		if !live || n.Level < u.newest {
+		if !live {
 			return nil, name
 		}
+		if n.Level < u.newest {
+			// All may read one between.
+			level, missing = min(level, n.Level), name
+		}
 		guards = append(guards, wire.Guard{Key: world.NodeKey(name), Stamp: n.Stamp})
 	}
+	if level <= u.world.Level {
+		return nil, missing
+	}
 	if len(guards) > tuning.GuardsPerOp*u.limits.TxnOps() {
 		return nil, "more nodes than one transaction has conditions"
 	}
-	return &store.Item{Guards: guards, Ops: []wire.Op{store.Set(world.LevelKey, world.LevelRecord{Level: u.newest})}, Urgent: true}, ""
+	return &store.Item{Guards: guards, Ops: []wire.Op{store.Set(world.LevelKey, world.LevelRecord{Level: level})}, Urgent: true}, missing
 }
