--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -458,19 +458,6 @@
 	return Task{fate, s.State, s.Cause, s.Saved, s.since}
 }
 
-// Holders gives the machines that are believed to hold an image.
-func (f *Fleet) Holders(image string) map[string]bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	out := map[string]bool{}
-	for name, m := range f.machines {
-		if _, ok := m.images[image]; ok {
-			out[name] = true
-		}
-	}
-	return out
-}
-
 // Images gives the machines of this node by the images that they are believed
 // to hold, for placement here and on the other nodes.
 func (f *Fleet) Images() map[string][]string {
--- /dev/null
+++ b/internal/place/downstream.go
@@ -0,0 +1,37 @@
+package place
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+
+	"sableusher/internal/store"
+	"sableusher/internal/tuning"
+	"sableusher/internal/wire"
+	"sableusher/internal/world"
+)
+
+var fallen = promauto.NewCounter(prometheus.CounterOpts{Name: "sableusher_jobs_fallen_total", Help: "Jobs cancelled with one that they need."})
+
+// doom ends the jobs that fall with one that they need. Such a job never had a
+// task, so one change turns its record into the final one. The cause is in the
+// records of what it needs: whoever owns its part can go on from those alone, and
+// where that owner does not, any node does.
+func (r *round) doom() {
+	n := 0
+	for id := range r.world.Doomed() {
+		j := r.world.Jobs[id]
+		key := world.JobKey(id)
+		if j == nil || r.busy[key] || n >= tuning.DoomRound {
+			continue
+		}
+		if _, mine := r.tokens[r.first(j)]; !mine && r.now.Sub(j.DoomAt) < tuning.DoomPatience {
+			continue
+		}
+		n++
+		fallen.Inc()
+		r.out = append(r.out, &change{what: "end " + id + " with what it needs", keys: []string{key}, late: true, item: store.Item{
+			Guards: []wire.Guard{{Key: key, Stamp: j.Stamp}}, Ops: r.final(j, wire.JobCancelled, j.Done), Urgent: true,
+		}})
+		r.log.Info("job cancelled with one that it needs", "job", id)
+	}
+}
--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -1,5 +1,3 @@
-// Package place decides which waiting task starts on which machine, carries out
-// what became of bound tasks, and changes the jobs' records accordingly.
 package place
 
 import (
@@ -14,7 +12,9 @@
 	"sableusher/internal/fleet"
 	"sableusher/internal/learn"
 	"sableusher/internal/member"
+	"sableusher/internal/order"
 	"sableusher/internal/quota"
+	"sableusher/internal/silence"
 	"sableusher/internal/store"
 	"sableusher/internal/tuning"
 	"sableusher/internal/wire"
@@ -46,20 +46,27 @@
 	held    map[string]reserve   // machines on which room is being freed
 	owned   map[int]time.Time    // since when a part is ours
 	gone    map[string]bool      // machines whose deletion the cloud has confirmed
-	deaths  []time.Time
+	buried  map[string]time.Time // the same, for long after their records are gone
+	silence silence.Watch
 	fenced  map[int]time.Time
 	given   time.Time // when arrays were last given room
 	// assured holds the jobs within their team's guarantee, as of a time.
 	assured   map[string]bool
 	assuredAt time.Time
 	valued    map[string]valued
+	seen      *learn.State // what is chosen in, as of a time
+	seenAt    time.Time
+	news      *world.News
+	line      *order.Line[*world.Job]
+	queued    []due // of the round before, its memory used again
+	room      *stock
+	stale     map[string]struct{} // machines whose workers told something that the stock has not taken in
 	demand    Demand
 	values    values
 	reader    store.Reader
 	peers     Peers
-	asked     time.Time
-	vetoes    map[string]veto            // silent machines, by what the peers said
 	hints     map[string]map[string]bool // the other nodes' machines by image
+	hintsAt   time.Time
 	again     chan struct{}
 	perGPU    world.Amount         // what GPU work takes beside each GPU
 	refused   map[string]time.Time // records that were refused as malformed, until they are tried again
@@ -67,19 +74,6 @@
 	movedAt   time.Time            // when records that nothing asked for were last moved
 }
 
-// Peers asks the other nodes which workers they have heard from.
-type Peers interface {
-	Ask(ctx context.Context, machines []string) map[string]string
-	// Images asks which machines of theirs are believed to hold which images.
-	Images(ctx context.Context) map[string]map[string]bool
-}
-
-// veto is what the peers said of a silent machine; no node: none has heard it.
-type veto struct {
-	at   time.Time
-	node string
-}
-
 // valued is a job's value as of a time.
 type valued struct {
 	value float64
@@ -108,13 +102,14 @@
 	return &Engine{
 		set: set, op: op, world: w, member: m, fleet: f, commit: c, quota: quota.New(set.Deployment.Teams, w), log: log,
 		busy: map[string]bool{}, moving: map[uint64]*change{}, backoff: map[string]retry{}, waits: map[string]wait{}, look: map[string]struct{}{}, valued: map[string]valued{},
-		forming: map[string]time.Time{}, told: map[string]time.Time{}, held: map[string]reserve{}, owned: map[int]time.Time{}, gone: map[string]bool{},
-		moves: map[string]bool{}, refused: map[string]time.Time{}, fenced: map[int]time.Time{}, reader: reader, peers: peers, vetoes: map[string]veto{},
+		forming: map[string]time.Time{}, told: map[string]time.Time{}, held: map[string]reserve{}, owned: map[int]time.Time{}, gone: map[string]bool{}, buried: map[string]time.Time{},
+		moves: map[string]bool{}, refused: map[string]time.Time{}, fenced: map[int]time.Time{}, reader: reader, peers: peers,
+		silence: silence.Watch{Rules: silence.Rules{Report: set.Report(), Lease: set.Lease()}},
 		values: values{
 			learner: learn.New(op.LearnRate, op.Discount, op.Exploration, op.ColdPayoffs, m.Inc, log),
 			runs:    learn.NewEstimates(), open: map[attempt]int64{}, began: map[attempt]time.Time{}, recent: 0.5,
 		},
-		again: make(chan struct{}, 1),
+		again: make(chan struct{}, 1), news: w.Follow(), line: order.NewLine[*world.Job](), stale: map[string]struct{}{},
 	}
 }
 
@@ -163,7 +158,7 @@
 		}
 		if hints := e.peers.Images(ctx); len(hints) > 0 {
 			e.mu.Lock()
-			e.hints = hints
+			e.hints, e.hintsAt = hints, time.Now()
 			e.mu.Unlock()
 		}
 	}
@@ -200,9 +195,13 @@
 func (e *Engine) Round(now time.Time, wg *sync.WaitGroup) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	maps.Copy(e.look, e.world.Touched())
-	maps.Copy(e.look, e.fleet.News())
+	news := e.fleet.News()
+	maps.Copy(e.look, news)
+	maps.Copy(e.stale, news)
 	e.world.RLock()
+	touched := e.news.Machines()
+	maps.Copy(e.look, touched)
+	maps.Copy(e.stale, touched)
 	r := e.newRound(now)
 	r.adopt()
 	if now.Sub(e.swept) >= tuning.SweepEvery {
@@ -283,6 +282,7 @@
 	e.mu.Lock()
 	for _, n := range names {
 		e.gone[n] = true
+		e.buried[n] = time.Now()
 		e.look[n] = struct{}{}
 	}
 	e.mu.Unlock()
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"sableusher/internal/config"
+	"sableusher/internal/order"
 	"sableusher/internal/tuning"
 	"sableusher/internal/wire"
 	"sableusher/internal/world"
@@ -43,9 +44,9 @@
 	job      *world.Job
 	need     world.Amount
 	rank     int
-	deadline time.Time
 	assured  bool // within its team's guarantee
 	pressing bool // its deadline can still be met, but not for long
+	key      order.Key
 	value    float64
 	home     int  // the part it is dealt to
 	left     int  // tasks that have no place yet in this round
@@ -55,9 +56,6 @@
 // guarantees finds the jobs that lie within their team's guarantee, together
 // with the team's earlier unfinished jobs.
 func (r *round) guarantees() {
-	if r.now.Sub(r.assuredAt) < tuning.AssuredEvery {
-		return
-	}
 	r.assuredAt, r.assured = r.now, map[string]bool{}
 	teams := map[string][]*world.Job{}
 	for _, j := range r.world.Jobs {
@@ -81,27 +79,44 @@
 	}
 }
 
-// queue gives the jobs that wait, in the order of placement.
+// queue gives the jobs that wait, in the order of placement. The line is kept: jobs of
+// which something changed are put where they belong, and as time moves deadlines and
+// guarantees, all of them now and then.
 func (r *round) queue(room bool) []due {
-	var out []due
-	for id, j := range r.world.Jobs {
-		if !j.Startable() || j.Pending() == 0 {
-			continue
-		}
-		if b, ok := r.backoff[id]; ok && r.now.Before(b.until) {
-			continue
-		}
-		if out == nil {
-			r.guarantees()
-		}
-		deadline, pressing := r.deadline(j)
-		out = append(out, due{job: j, need: world.Need(&j.Spec), assured: r.assured[id], rank: r.rank(j),
-			deadline: deadline, pressing: pressing, home: -1})
+	news := r.news.Jobs()
+	if r.now.Sub(r.assuredAt) >= tuning.AssuredEvery && (r.line.Len() > 0 || len(news) > 0) {
+		r.guarantees()
+		r.line.Each(func(k order.Key, _ *world.Job) bool {
+			news[k.ID] = struct{}{}
+			return true
+		})
 	}
-	r.order(out, room)
+	for id := range news {
+		r.enter(id)
+	}
+	out := r.queued[:0]
+	r.line.Each(func(k order.Key, j *world.Job) bool {
+		if b, ok := r.backoff[k.ID]; !ok || !r.now.Before(b.until) {
+			out = append(out, due{job: j, need: world.Need(&j.Spec), assured: k.Assured, rank: k.Rank, pressing: k.Pressing, key: k, home: -1})
+		}
+		return true
+	})
+	r.queued = out
+	r.byValue(out, room)
 	return out
 }
 
+// enter puts a job in line, where it belongs now, or takes it out.
+func (r *round) enter(id string) {
+	j := r.world.Jobs[id]
+	if j == nil || !j.Startable() || j.Pending() == 0 {
+		r.line.Drop(id)
+		return
+	}
+	deadline, pressing := r.deadline(j)
+	r.line.Put(order.Key{Rank: r.rank(j), Assured: r.assured[id], Pressing: pressing, Deadline: deadline.UnixNano(), Since: j.SinceMs(), ID: id}, j)
+}
+
 // besides finds what work on GPUs takes of the rest of a machine for each: the
 // most that a gang or a service takes, and what arrays take on average.
 func (r *round) besides() {
@@ -132,6 +147,7 @@
 	maps.DeleteFunc(r.waits, func(id string, _ wait) bool { return over(id) })
 	maps.DeleteFunc(r.told, func(id string, _ time.Time) bool { return over(id) })
 	maps.DeleteFunc(r.forming, func(id string, _ time.Time) bool { return over(id) })
+	maps.DeleteFunc(r.buried, func(_ string, at time.Time) bool { return r.now.Sub(at) > tuning.BuriedFor })
 	maps.DeleteFunc(r.held, func(_ string, h reserve) bool { return r.now.After(h.until) })
 }
 
@@ -256,8 +272,13 @@
 	} else {
 		r.pressed = true
 	}
-	queue := r.queue(s.room())
+	_, _, leads := r.member.Owns(world.Leader)
+	r.counts = leads && r.now.Sub(r.demand.At) >= tuning.DemandEvery
+	queue := r.queue(s.hasRoom())
 	s.narrow(queue)
+	if r.counts {
+		s.gather()
+	}
 	d := Demand{At: r.now}
 	if len(queue) > 0 {
 		total := map[string]world.Amount{}
@@ -290,7 +311,7 @@
 			queue = queue[n:]
 		}
 	}
-	if _, _, leads := r.member.Owns(world.Leader); leads {
+	if r.counts {
 		s.spare(&d)
 		r.demand = d
 	}
@@ -332,26 +353,37 @@
 		r.placeGang(du, s)
 		return
 	}
-	fit := s.fitting(du, true)
-	also := func(n *node) bool { return n.m.Part == du.home && (!held || r.holds(spec.Image, n)) }
+	if s.without(du) {
+		return
+	}
+	var where []*node
+	var also func(*node) bool
 	if spec.Kind == wire.KindService {
 		// Its tasks go wherever the image is; the owner of one part places them all.
 		du.home = r.first(j)
-		also = certain
+		where, also = s.fitting(du), certain
 	} else {
-		du.home = r.home(du, fit)
+		any := false
+		if du.home, any = r.home(du); !any {
+			s.fail(du)
+			return
+		}
+		where = s.open[du.home]
+		if held {
+			where = s.holders(spec.Image)[du.home]
+		}
 	}
-	if len(fit) == 0 {
+	if len(where) == 0 {
 		return
 	}
 	k := r.chunk(j)
 	z := r.zones(j, k)
-	picks := r.choose(du, fit, &z, also)
+	picks := r.choose(du, where, &z, also)
 	if _, mine := r.tokens[du.home]; !mine && !held && len(picks) > 0 && r.waited(du) {
 		// Its owner has not taken it though there is room.
-		give(du, picks)
+		r.give(du, picks)
 		z = r.zones(j, k)
-		picks = r.choose(du, fit, &z, func(n *node) bool { return n.mine })
+		picks = r.choose(du, s.fitting(du), &z, func(n *node) bool { return n.mine })
 	} else if mine && spec.Kind == wire.KindService {
 		r.bindTasks(du, k, picks, du.home)
 		return
@@ -377,15 +409,15 @@
 }
 
 // give takes back room that was taken for a job.
-func give(du *due, picks []*node) {
+func (r *round) give(du *due, picks []*node) {
 	for _, n := range picks {
-		n.free = n.free.Plus(du.need, 1)
+		r.stock.take(n, du.need, -1)
 	}
 	du.left += len(picks)
 }
 
-// spill looks elsewhere for room for what the part of a job had none for, then
-// at machines that are coming up; the rest is demand for the pool.
+// spill looks elsewhere for room for what the part of a job had none for, then, where
+// the pool's demand is counted, at machines that are coming up; the rest is demand.
 func (r *round) spill(du *due, s *stock, d *Demand) {
 	j, spec := du.job, &du.job.Spec
 	if du.left == 0 {
@@ -393,7 +425,7 @@
 	}
 	k := r.chunk(j)
 	z := r.zones(j, k)
-	up, coming := s.fitting(du, true), s.fitting(du, false)
+	up := s.fitting(du)
 	gang := spec.Kind == wire.KindGang
 	if !gang {
 		if picks := r.choose(du, up, &z, func(n *node) bool { return n.m.Part != du.home }); len(picks) > 0 &&
@@ -402,7 +434,7 @@
 		}
 	} else {
 		if spec.OneZone && z.pin == "" {
-			z.pin = r.roomiest(du, up, coming)
+			z.pin = r.roomiest(du, up)
 		}
 		r.choose(du, up, &z, nil) // kept whole for it
 	}
@@ -411,8 +443,10 @@
 	}
 	r.waiting(j, "no room", nil)
 	short := du.left
-	r.choose(du, coming, &z, nil)
-	if du.left > 0 {
+	if r.counts {
+		s.expect(du, &z)
+	}
+	if du.left > 0 && r.counts {
 		d.Groups = append(d.Groups, Group{Spec: spec, Count: du.left, Zone: z.pin, Rank: du.rank, Since: j.Since()})
 	}
 	if (du.assured || du.rank <= wire.Rank(wire.PriorityHigh)) && (!gang || spec.Tasks == 1) {
@@ -422,14 +456,20 @@
 	}
 }
 
-// roomiest is the zone with the most room for tasks of a gang.
-func (r *round) roomiest(du *due, lists ...[]*node) string {
+// roomiest is the zone with the most room for tasks of a gang, on machines that are up
+// and those coming up.
+func (r *round) roomiest(du *due, up []*node) string {
 	room := map[string]int{}
 	best := ""
-	for _, list := range lists {
-		for _, n := range list {
-			if n.kept == "" || n.kept == du.job.Spec.ID {
-				room[n.m.Zone] += fits(du.need, n.free)
+	for _, n := range up {
+		if n.kept == "" || n.kept == du.job.Spec.ID {
+			room[n.m.Zone] += fits(du.need, n.free)
+		}
+	}
+	if r.counts {
+		for _, b := range r.stock.bins {
+			if allowed(&du.job.Spec, b.like.m) {
+				room[b.like.m.Zone] += len(b.nodes) * fits(du.need, b.free)
 			}
 		}
 	}
@@ -443,44 +483,24 @@
 
 // home is the part that a job is dealt to: where its tasks already are, else
 // the first in an order of its own that has room for all of them. All nodes
-// find the same without a word; where views differ, the records' guards decide.
-func (r *round) home(du *due, fit []*node) int {
-	rooms := make([]int, r.world.Size)
-	for _, n := range fit {
-		rooms[n.m.Part] += fits(du.need, n.free)
-	}
-	best := -1
+// find the same without a word; where views differ, the records' guards decide. any
+// tells whether there is room for a task of it anywhere.
+func (r *round) home(du *due) (part int, any bool) {
+	s, best := r.stock, -1
 	for p, n := range du.job.Where {
-		if n > 0 && rooms[p] > 0 && (best < 0 || n > du.job.Where[best]) {
+		if n > 0 && (best < 0 || n > du.job.Where[best]) && takes(du, s.open[p]) {
 			best = p
 		}
 	}
 	if best >= 0 {
-		return best
+		return best, true
 	}
 	first := r.first(du.job)
-	held := make([]int, r.world.Size)
-	for _, n := range fit {
-		if r.holds(du.job.Spec.Image, n) {
-			held[n.m.Part] += fits(du.need, n.free)
-		}
-	}
-	if p, ok := roomy(held, first, du.left); ok {
-		return p
+	if p, ok, _ := s.rooms(du, s.holders(du.job.Spec.Image), first); ok {
+		return p, true
 	}
-	p, _ := roomy(rooms, first, du.left)
-	return p
-}
-
-// roomy gives the first part, from one on, with room for so many tasks; that one
-// if there is none.
-func roomy(rooms []int, first, want int) (int, bool) {
-	for i := range rooms {
-		if p := (first + i) % len(rooms); rooms[p] >= want {
-			return p, true
-		}
-	}
-	return first, false
+	p, _, any := s.rooms(du, s.open, first)
+	return p, any
 }
 
 // first is the first part in a job's own order whose owner lives.
@@ -517,14 +537,14 @@
 	spec := &du.job.Spec
 	var tiers [32][]*node
 	for _, n := range fit {
-		if n.kept != "" && n.kept != spec.ID || also != nil && !also(n) || !z.open(n.m.Zone) {
+		if n.kept != "" && n.kept != spec.ID || also != nil && !also(n) || !du.need.Within(n.free) || !allowed(spec, n.m) || !z.open(n.m.Zone) {
 			continue
 		}
 		t := 0
 		if n.kept == "" {
 			t |= 16
 		}
-		fetches := !r.holds(spec.Image, n)
+		fetches := n.state != ready || !r.stock.holds(spec.Image, n)
 		if besides := du.need.GPUs == 0 && n.capacity.GPUs > 0; besides {
 			// A machine is there anyway, so the cheap kind saves nothing; one that is
 			// taken back takes the task's run time with it.
@@ -538,7 +558,7 @@
 	for _, tier := range tiers {
 		for _, n := range tier {
 			for du.left > 0 && du.need.Within(n.free) && z.open(n.m.Zone) {
-				n.free = n.free.Plus(du.need, -1)
+				r.stock.take(n, du.need, 1)
 				z.add(du.job, n.m.Zone)
 				picks = append(picks, n)
 				du.left--
@@ -566,23 +586,6 @@
 	return need.Within(n.free.Plus(keep, -1))
 }
 
-// holds tells whether a machine is believed to hold an image: a task of it is
-// bound there, or has been, as its part's owner knows and tells the others.
-func (r *round) holds(image string, n *node) bool {
-	if n.m.Images[image] > 0 {
-		return true
-	}
-	if !n.mine {
-		return r.hints[image][n.m.Name]
-	}
-	set, ok := r.holders[image]
-	if !ok {
-		set = r.fleet.Holders(image)
-		r.holders[image] = set
-	}
-	return set[n.m.Name]
-}
-
 // bindOwn binds waiting tasks of a job to those of the machines that are this
 // node's.
 func (r *round) bindOwn(du *due, chunk int, picks []*node) {
@@ -670,9 +673,10 @@
 	delete(r.waits, j.Spec.ID)
 	if n.kept == j.Spec.ID {
 		delete(r.held, n.m.Name)
+		r.stock.use(n)
 		n.kept = ""
 	}
-	r.log.Debug("task placed", "task", ref, "attempt", attempt, "machine", n.m.Name, "image", r.holds(j.Spec.Image, n))
+	r.log.Debug("task placed", "task", ref, "attempt", attempt, "machine", n.m.Name, "image", r.stock.holds(j.Spec.Image, n))
 	return true
 }
 
@@ -708,9 +712,9 @@
 	// own part, where no other node places.
 	du.home = r.first(j)
 	z := r.zones(j, 0)
-	fit := s.fitting(du, true)
+	fit := s.fitting(du)
 	inPart := func(n *node) bool { return n.m.Part == du.home }
-	held := func(n *node) bool { return r.holds(spec.Image, n) }
+	held := func(n *node) bool { return r.stock.holds(spec.Image, n) }
 	var picks []*node
 	for _, also := range []func(*node) bool{
 		func(n *node) bool { return inPart(n) && held(n) },
@@ -766,7 +770,7 @@
 			}
 			c := fits(du.need, n.free)
 			room[n.m.Zone] += c
-			if r.holds(du.job.Spec.Image, n) {
+			if r.stock.holds(du.job.Spec.Image, n) {
 				images[n.m.Zone] += c
 			}
 		}
@@ -785,7 +789,7 @@
 		if du.left == 0 {
 			return picks
 		}
-		give(du, picks)
+		r.give(du, picks)
 	}
 	return nil
 }
@@ -874,6 +878,7 @@
 func (r *round) stop(n *node, du *due, ref world.TaskRef, victims []world.Binding) {
 	r.stops++
 	free := n.free
+	r.stock.use(n)
 	n.kept, n.free = ref.Job, world.Amount{}
 	r.held[n.m.Name] = reserve{ref, r.now.Add(tuning.PreemptHold)}
 	for _, b := range victims {
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -245,7 +245,7 @@
 		f.machine(i, false)
 	}
 	e := f.engines[0]
-	e.look = f.world.Touched()
+	e.look = e.news.Machines()
 	f.world.RLock()
 	r := e.newRound(testNow)
 	r.settle()
@@ -301,6 +301,26 @@
 	}
 }
 
+// TestDeletedMachineIsNotAdopted: a report that a cut has held back and delivers after
+// its machine was deleted must not make a record of it. Some seventy such machines once
+// counted as room, and tasks were bound to them.
+func TestDeletedMachineIsNotAdopted(t *testing.T) {
+	f := newField(t)
+	deleted, unknown := "vm-000001", "vm-000002"
+	for _, name := range []string{deleted, unknown} {
+		i := world.PartOf(name, testParts)
+		f.engines[i].Gone([]string{deleted})
+		f.fleets[i].Beat(&wire.Report{Machine: name, Address: "10.1.0.1:9000", Type: "m", Zone: "east", Session: 1, Seq: 1, Token: 7})
+		f.world.RLock()
+		r := f.engines[i].newRound(testNow)
+		r.adopt()
+		f.world.RUnlock()
+		if got, want := len(r.out), map[string]int{deleted: 0, unknown: 1}[name]; got != want {
+			t.Errorf("%s: %d records written, want %d", name, got, want)
+		}
+	}
+}
+
 // TestStartsGoWhereTheImageIs: of machines with room, those that hold the image
 // are taken, also in other nodes' parts, of which hints tell.
 func TestStartsGoWhereTheImageIs(t *testing.T) {
@@ -315,7 +335,7 @@
 	f.job(gang(1, 3))
 	total := 0
 	for i, e := range f.engines {
-		e.hints = held
+		e.hints, e.hintsAt = held, testNow
 		_, bound := f.round(i)
 		total += len(bound)
 		for _, b := range bound {
--- a/internal/place/settle.go
+++ b/internal/place/settle.go
@@ -1,13 +1,11 @@
 package place
 
 import (
-	"fmt"
 	"maps"
 	"slices"
 	"time"
 
 	"sableusher/internal/fleet"
-	"sableusher/internal/learn"
 	"sableusher/internal/store"
 	"sableusher/internal/tuning"
 	"sableusher/internal/wire"
@@ -28,13 +26,12 @@
 	live    []bool         // parts whose owner lives
 	bound   int
 	stock   *stock
-	pressed bool                       // the state service's budget is the bottleneck
-	stops   int                        // machines on which room is being freed in this round
-	holders map[string]map[string]bool // machines of this node's parts by image
-	blocked bool                       // a task's end could not be written yet
-	gangs   map[gangKey]bool           // whether an attempt is broken, looked at once a round
-	seen    *learn.State               // what this round chooses in
-	pulls   map[string]pulled          // what jobs that need others ask of them
+	pressed bool              // the state service's budget is the bottleneck
+	stops   int               // machines on which room is being freed in this round
+	counts  bool              // this round counts the demand for the pool
+	blocked bool              // a task's end could not be written yet
+	gangs   map[gangKey]bool  // whether an attempt is broken, looked at once a round
+	pulls   map[string]pulled // what jobs that need others ask of them
 }
 
 // editKey names one record of a job.
@@ -62,7 +59,7 @@
 func (e *Engine) newRound(now time.Time) *round {
 	r := &round{Engine: e, now: now, tokens: map[int]uint64{}, stamps: map[int]uint64{}, edits: map[editKey]*edit{}, gangs: map[gangKey]bool{},
 		moveM: map[string]world.Amount{}, moveP: map[int]map[string]world.Amount{}, moveJ: map[string]int{},
-		holders: map[string]map[string]bool{}, live: make([]bool, e.world.Size)}
+		live: make([]bool, e.world.Size)}
 	for p := range e.world.Size {
 		_, r.live[p] = e.member.OwnerOf(p)
 		r.moveP[p] = map[string]world.Amount{}
@@ -291,9 +288,11 @@
 		return
 	case wire.CauseError:
 		r.fleet.NoteError(name, spec.ID)
+		r.stale[name] = struct{}{}
 		r.fail(spec.ID, r.now)
 	case wire.CauseNoRoom, wire.CauseBusy:
 		r.fleet.NoteRefused(name)
+		r.stale[name] = struct{}{}
 	case wire.CauseUnknown:
 		r.fail(spec.ID, r.now)
 	}
@@ -492,6 +491,11 @@
 		if _, mine := r.stamps[part]; !mine || r.busy[key] || m != nil && m.Gone {
 			continue
 		}
+		// A report that a cut has held back may come long after its machine was deleted:
+		// a record of it would be room that is not there.
+		if _, buried := r.buried[name]; m == nil && buried {
+			continue
+		}
 		rec := world.MachineRecord{AtMs: r.now.UnixMilli()}
 		var stamp uint64
 		if m != nil {
@@ -520,88 +524,6 @@
 	})
 }
 
-// machinesDue deletes machines that are silent, stuck, drained or failing.
-func (r *round) machinesDue() {
-	deadAfter := time.Duration(tuning.DeadAfter * float64(r.set.Report()))
-	probeAfter := time.Duration(tuning.ProbeAfter * float64(r.set.Report()))
-	askedAfter := min(deadAfter, probeAfter+tuning.OrderTimeout+tuning.SweepEvery)
-	var silent, up int
-	type due struct {
-		m    *world.Machine
-		why  string
-		dead bool
-	}
-	var list []due
-	for _, name := range slices.Sorted(maps.Keys(r.world.Machines)) {
-		m := r.world.Machines[name]
-		token, mine := r.tokens[m.Part]
-		if !mine || m.Gone || r.busy[world.MachineKey(name)] {
-			continue
-		}
-		s := r.fleet.Look(name, token)
-		last := r.owned[m.Part]
-		if s.Heard.After(last) {
-			last = s.Heard
-		}
-		if m.Up {
-			up++
-		}
-		age := r.now.Sub(time.UnixMilli(m.AtMs))
-		typ := r.world.Types[m.Type]
-		stuck := max(time.Duration(tuning.BootStuck*typ.BootS*float64(time.Second)), tuning.BootStuckMin)
-		switch {
-		case !m.Up && s.Heard.IsZero():
-			// A new owner has heard of none of its machines yet, and the record of one
-			// that has long been up may not say so.
-			found := tuning.FindNode + time.Duration(tuning.DeadAfter*float64(r.set.Report()))
-			if age > stuck && typ.Name != "" && r.now.Sub(r.owned[m.Part]) > found {
-				list = append(list, due{m, "never came up", false})
-			}
-		case r.now.Sub(last) > probeAfter && r.late(m):
-			// No cap and no vote can keep a cancelled task beyond its time.
-			list = append(list, due{m, "silent with a cancelled task", false})
-		case r.now.Sub(last) > deadAfter || s.Mute && r.now.Sub(last) > askedAfter:
-			silent++
-			list = append(list, due{m, fmt.Sprintf("silent for %v", r.now.Sub(last).Round(time.Second)), true})
-		case r.now.Sub(last) > probeAfter:
-			r.fleet.Kick(name)
-		case len(m.Bound) == 0 && r.moveM[name] == (world.Amount{}) && s.Errors >= tuning.MachineErrors:
-			list = append(list, due{m, "failing", false})
-		}
-		if s.Doubt && r.unwanted(m) && r.now.Sub(r.fenced[m.Part]) > tuning.FenceEvery {
-			// A start in doubt could still run a task that must not: raise the token.
-			r.fenced[m.Part] = r.now
-			go r.member.Fence(r.ctx, m.Part, true)
-		}
-	}
-	r.deaths = slices.DeleteFunc(r.deaths, func(t time.Time) bool { return r.now.Sub(t) > tuning.DeadWindow })
-	var dead []string
-	for _, d := range list {
-		if d.dead {
-			dead = append(dead, d.m.Name)
-		}
-	}
-	r.ask(dead)
-	r.giveAway()
-	for _, d := range list {
-		if d.dead {
-			// Only what no other node hears either is dead.
-			if v, ok := r.vetoes[d.m.Name]; !ok || v.node != "" {
-				continue
-			}
-			// Most machines silent at once means that we are cut off, not they.
-			if silent*2 > up && up > 2 || len(r.deaths) >= max(2, int(tuning.DeadCap*float64(up))) {
-				continue
-			}
-			r.deaths = append(r.deaths, r.now)
-		}
-		r.log.Info("deleting a machine", "machine", d.m.Name, "why", d.why, "tasks", len(d.m.Bound))
-		rec := d.m.MachineRecord
-		rec.Gone = true
-		r.writeMachine("delete machine "+d.m.Name, d.m.Name, d.m.Part, rec, d.m.Stamp)
-	}
-}
-
 // evacuate stops what gains by it on a machine that the cloud takes away: tasks
 // that can save do so, services start again elsewhere at once. What can't save
 // may still end in time, and a gang of several tasks must be stopped as a whole.
@@ -643,19 +565,6 @@
 	})
 }
 
-// late tells whether a machine holds a task whose cancellation was told so long
-// ago that only the machine's deletion ends it in time: a worker that hangs does
-// not end its tasks with its lease.
-func (r *round) late(m *world.Machine) bool {
-	limit := time.Duration(tuning.CancelShare * float64(r.set.Cancel()))
-	for _, b := range m.Bound {
-		if b.Job.Cancelled() && r.now.Sub(time.UnixMilli(b.Job.CancelMs)) > limit {
-			return true
-		}
-	}
-	return false
-}
-
 func (r *round) unwanted(m *world.Machine) bool {
 	for _, b := range m.Bound {
 		if r.fleet.Stopping(b) {
@@ -664,57 +573,3 @@
 	}
 	return false
 }
-
-// ask asks the other nodes about silent machines; their answers count from the
-// next round on, and for a while.
-func (r *round) ask(dead []string) {
-	for n, v := range r.vetoes {
-		if !slices.Contains(dead, n) || r.now.Sub(v.at) > 2*tuning.AskEvery {
-			delete(r.vetoes, n)
-		}
-	}
-	if len(dead) == 0 || r.now.Sub(r.asked) < tuning.AskEvery {
-		return
-	}
-	r.asked = r.now
-	e := r.Engine
-	go func() {
-		heard := e.peers.Ask(e.ctx, dead)
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		for _, n := range dead {
-			e.vetoes[n] = veto{time.Now(), heard[n]}
-		}
-		e.poke()
-	}()
-}
-
-// giveAway hands a part to the node that hears most of its silent machines: this
-// node is cut off from them, not they from the region.
-func (r *round) giveAway() {
-	count := map[int]map[string]int{}
-	for n, v := range r.vetoes {
-		if v.node == "" {
-			continue
-		}
-		p := world.PartOf(n, r.world.Size)
-		if count[p] == nil {
-			count[p] = map[string]int{}
-		}
-		count[p][v.node]++
-	}
-	for p, nodes := range count {
-		machines := 0
-		for _, m := range r.world.Machines {
-			if m.Part == p && m.Up && !m.Gone {
-				machines++
-			}
-		}
-		for node, n := range nodes {
-			if 2*n > machines {
-				go r.member.Give(r.ctx, p, node)
-				break
-			}
-		}
-	}
-}
--- /dev/null
+++ b/internal/place/silent.go
@@ -0,0 +1,154 @@
+package place
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"sableusher/internal/config"
+	"sableusher/internal/silence"
+	"sableusher/internal/tuning"
+	"sableusher/internal/wire"
+	"sableusher/internal/world"
+)
+
+// Peers asks the other nodes which workers they have heard from.
+type Peers interface {
+	Ask(ctx context.Context, machines []string) map[string]string
+	// Images asks which machines of theirs are believed to hold which images.
+	Images(ctx context.Context) map[string]map[string]bool
+}
+
+// machinesDue deletes machines that are silent, stuck or failing.
+func (r *round) machinesDue() {
+	var list []silence.Machine
+	open := r.openZones()
+	for _, name := range slices.Sorted(maps.Keys(r.world.Machines)) {
+		m := r.world.Machines[name]
+		token, mine := r.tokens[m.Part]
+		if !mine || m.Gone || r.gone[name] || r.busy[world.MachineKey(name)] {
+			continue
+		}
+		s := r.fleet.Look(name, token)
+		list = append(list, silence.Machine{Name: name, Zone: m.Zone, Part: m.Part, Up: m.Up, Heard: s.Heard, Owned: r.owned[m.Part],
+			Mute: s.Mute, Late: r.late(m), Bound: len(m.Bound), Moves: r.movable(m, open), Inside: r.inside(m.Zone)})
+		switch {
+		case !m.Up && s.Heard.IsZero():
+			if r.neverUp(m) && !r.silence.Troubled(r.now, m.Zone) {
+				r.giveUp(silence.Victim{Name: name, Why: "never came up"})
+			}
+		case len(m.Bound) == 0 && r.moveM[name] == (world.Amount{}) && s.Errors >= tuning.MachineErrors:
+			r.giveUp(silence.Victim{Name: name, Why: "failing"})
+		}
+		if s.Doubt && r.unwanted(m) && r.now.Sub(r.fenced[m.Part]) > tuning.FenceEvery {
+			// A start in doubt could still run a task that must not: raise the token.
+			r.fenced[m.Part] = r.now
+			go r.member.Fence(r.ctx, m.Part, true)
+		}
+	}
+	before := r.silence.Cuts()
+	j := r.silence.Judge(r.now, list)
+	if after := r.silence.Cuts(); !slices.Equal(before, after) {
+		r.log.Info("zones that are cut off", "zones", after, "before", before)
+	}
+	for _, name := range j.Probe {
+		r.fleet.Kick(name)
+	}
+	for p, node := range j.Give {
+		go r.member.Give(r.ctx, p, node)
+	}
+	if len(j.Ask) > 0 {
+		e := r.Engine
+		go func() {
+			heard := e.peers.Ask(e.ctx, j.Ask)
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.silence.Told(time.Now(), j.Ask, heard)
+			e.poke()
+		}()
+	}
+	for _, v := range j.Delete {
+		r.giveUp(v)
+	}
+}
+
+// neverUp tells whether a machine should have come up long ago. A new owner has heard
+// of none of its machines yet, and the record of one that has long been up may not say so.
+func (r *round) neverUp(m *world.Machine) bool {
+	typ := r.world.Types[m.Type]
+	stuck := max(time.Duration(tuning.BootStuck*typ.BootS*float64(time.Second)), tuning.BootStuckMin)
+	found := tuning.FindNode + time.Duration(tuning.DeadAfter*float64(r.set.Report()))
+	return typ.Name != "" && r.now.Sub(time.UnixMilli(m.AtMs)) > stuck && r.now.Sub(r.owned[m.Part]) > found
+}
+
+// giveUp marks a machine to be deleted at the cloud.
+func (r *round) giveUp(v silence.Victim) {
+	m := r.world.Machines[v.Name]
+	r.log.Info("deleting a machine", "machine", v.Name, "why", v.Why, "tasks", len(m.Bound))
+	rec := m.MachineRecord
+	rec.Gone = true
+	r.writeMachine("delete machine "+v.Name, v.Name, m.Part, rec, m.Stamp)
+}
+
+// late tells whether a machine holds a task whose cancellation was asked for so long
+// ago that only the machine's deletion ends it: a worker that hangs does not end its
+// tasks with its lease. Where cancellations are told at once it must go in time,
+// where they are told when they are certain, before the user gives up asking.
+func (r *round) late(m *world.Machine) bool {
+	limit := r.set.Cancel()
+	if r.world.Level < tuning.LevelCertain {
+		limit = time.Duration(tuning.CancelShare * float64(limit))
+	}
+	for _, b := range m.Bound {
+		if b.Job.Cancelled() && r.now.Sub(time.UnixMilli(b.Job.CancelMs)) > limit {
+			return true
+		}
+	}
+	return false
+}
+
+// inside tells whether a controller stands in a zone and would renew leases there.
+func (r *round) inside(zone string) bool {
+	if r.world.Level < tuning.LevelCertain {
+		return false
+	}
+	return r.set.Zone == zone || slices.ContainsFunc(r.set.Siblings, func(s config.Sibling) bool { return s.Zone == zone })
+}
+
+// openZones counts the zones that are not cut off.
+func (r *round) openZones() int {
+	open := map[string]bool{}
+	for _, t := range r.world.Types {
+		for _, z := range t.Zones {
+			if !r.silence.Cut(z) {
+				open[z] = true
+			}
+		}
+	}
+	return len(open)
+}
+
+// movable tells whether a service on a machine in a zone that is cut off could start
+// in another one of so many open zones.
+func (r *round) movable(m *world.Machine, open int) bool {
+	if !r.silence.Cut(m.Zone) {
+		return false
+	}
+	for _, b := range m.Bound {
+		s := &b.Job.Spec
+		// Spread over two zones, half of the tasks may stand in the one that is left,
+		// and as a rule do.
+		if s.Kind == wire.KindService && s.Zone == "" && (open > 1 || open == 1 && (!s.Spread || s.Tasks == 1)) {
+			return true
+		}
+	}
+	return false
+}
+
+// Cuts gives the zones that are cut off from this node.
+func (e *Engine) Cuts() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.silence.Cuts()
+}
--- a/internal/place/value.go
+++ b/internal/place/value.go
@@ -207,46 +207,33 @@
 	return s
 }
 
-// order sorts the waiting jobs. Priority comes first and is never crossed, then
-// what lies within its team's guarantee; then jobs whose deadline is in danger,
-// by deadline; then the learned values, or while the learner is cold the
-// earliest deadline and arrival. Values are asked for the first of them only, and
-// only if there is room to start any.
-func (r *round) order(list []due, room bool) {
-	guarded := func(a, b due) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), -compareBool(a.assured, b.assured), -compareBool(a.pressing, b.pressing))
-	}
-	slices.SortFunc(list, func(a, b due) int {
-		return cmp.Or(guarded(a, b), a.deadline.Compare(b.deadline), cmp.Compare(a.job.SinceMs(), b.job.SinceMs()), cmp.Compare(a.job.Spec.ID, b.job.Spec.ID))
-	})
-	warm := room && r.op.Learn && len(list) > 0 && r.values.learner.Warm()
-	if warm {
-		first := list[:min(len(list), tuning.LearnCandidates)]
-		for i := range first {
-			d := &first[i]
-			v, ok := r.valued[d.job.Spec.ID]
-			if !ok || r.now.Sub(v.at) > tuning.ValueLife {
-				v = valued{r.score(d.job).Value, r.now}
-				r.valued[d.job.Spec.ID] = v
-			}
-			d.value = v.value
-		}
-		slices.SortStableFunc(first, func(a, b due) int {
-			c := guarded(a, b)
-			if c == 0 && !a.pressing {
-				c = -cmp.Compare(a.value, b.value)
-			}
-			return c
-		})
-	}
-	if !warm {
+// byValue puts the first of the jobs in line in the order of their learned values, within
+// what value never crosses: priority, guarantee and danger. Values are asked for only
+// if there is room to start any, and while the learner is cold not at all.
+func (r *round) byValue(list []due, room bool) {
+	if !room || !r.op.Learn || len(list) == 0 || !r.values.learner.Warm() {
 		return
 	}
+	first := list[:min(len(list), tuning.LearnCandidates)]
+	for i := range first {
+		d := &first[i]
+		v, ok := r.valued[d.job.Spec.ID]
+		if !ok || r.now.Sub(v.at) > tuning.ValueLife {
+			v = valued{r.score(d.job).Value, r.now}
+			r.valued[d.job.Spec.ID] = v
+		}
+		d.value = v.value
+	}
+	slices.SortStableFunc(first, func(a, b due) int {
+		c := a.key.Guarded(b.key)
+		if c == 0 && !a.pressing {
+			c = -cmp.Compare(a.value, b.value)
+		}
+		return c
+	})
 	// A random pick comes first among its equals in priority and danger.
 	if i, ok := r.values.learner.Explore(len(list)); ok {
-		first := slices.IndexFunc(list, func(d due) bool {
-			return d.rank == list[i].rank && d.assured == list[i].assured && d.pressing == list[i].pressing
-		})
+		first := slices.IndexFunc(list, func(d due) bool { return d.key.Guarded(list[i].key) == 0 })
 		r.log.Debug("random pick", "job", list[i].job.Spec.ID)
 		picked := list[i]
 		copy(list[first+1:i+1], list[first:i])
@@ -254,16 +241,6 @@
 	}
 }
 
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	}
-	return -1
-}
-
 func (r *round) action(j *world.Job) *learn.Action {
 	return &learn.Action{Class: j.Spec.Class, Team: j.Spec.Team, RunS: r.values.runs.RunS(j.Spec.Class, j.Spec.EstimateS),
 		Interactive: r.rank(j) <= wire.Rank(wire.PriorityHigh)}
@@ -271,9 +248,9 @@
 
 // score values a job in the state of this round.
 func (r *round) score(j *world.Job) learn.Choice {
-	if r.seen == nil {
+	if r.seen == nil || r.now.Sub(r.seenAt) > tuning.ValueLife {
 		s := r.state()
-		r.seen = &s
+		r.seen, r.seenAt = &s, r.now
 	}
 	return r.values.learner.Score(r.seen, r.action(j))
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -40,6 +40,7 @@
 	serial  int
 	refused map[kind]time.Time
 	rented  time.Time // when machines were last rented
+	cut     []string  // zones that are cut off: what is rented there could not report
 	idle    map[string]time.Time
 	unknown map[string]time.Time
 	listed  time.Time
@@ -238,6 +239,7 @@
 		return
 	}
 	d := p.engine.Demand()
+	p.cut = p.engine.Cuts()
 	if time.Since(d.At) > tuning.DemandStale || d.At.Before(p.rented) {
 		return // what was rented since is not counted in it
 	}
@@ -416,7 +418,7 @@
 }
 
 // choose picks the cheapest kind for a task, in the allowed zone with the
-// fewest machines, leaving out what was refused lately.
+// fewest machines, leaving out what was refused lately and zones that are cut off.
 func (p *Pool) choose(s *wire.Spec, zone string, held map[string]int, now time.Time, also func(string) bool) (kind, bool) {
 	need := world.Need(s)
 	var best kind
@@ -427,7 +429,7 @@
 			continue
 		}
 		for _, z := range t.Zones {
-			if zone != "" && z != zone || !also(z) {
+			if zone != "" && z != zone || !also(z) || slices.Contains(p.cut, z) {
 				continue
 			}
 			for _, spot := range []bool{true, false} {
--- /dev/null
+++ b/internal/silence/silence.go
@@ -0,0 +1,289 @@
+// Package silence decides which machines that are not heard from are given up. A
+// machine that died has to be replaced soon; one that is only cut off from us runs
+// its tasks on, and deleting it loses them. So silence is judged by what the silent
+// have in common: where a whole zone falls silent at once, the zone is cut off, and
+// its machines are left alone until their leases have run out.
+//
+// The package owns what the peers said of silent machines, the pace of deletions and
+// which zones are cut. It only judges: no clock, no network, no records. What it gives
+// up leaves a machine by the cloud's deletion and nothing else (safety invariant 4), so a
+// wrong judgement costs time or work and never breaks a rule; a machine that holds a
+// task whose cancellation is overdue is given up whatever else speaks for waiting
+// (invariant 5).
+package silence
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"sableusher/internal/tuning"
+)
+
+// Rules are the deployment's times.
+type Rules struct {
+	Report time.Duration // between a worker's reports
+	Lease  time.Duration // that an answer to a report renews
+}
+
+// probeAfter is the silence after which a machine is asked directly, deadAfter the
+// one after which it is given up if it could not be asked, askedAfter if it could.
+func (r Rules) probeAfter() time.Duration { return times(tuning.ProbeAfter, r.Report) }
+func (r Rules) deadAfter() time.Duration  { return times(tuning.DeadAfter, r.Report) }
+func (r Rules) askedAfter() time.Duration {
+	return min(r.deadAfter(), r.probeAfter()+tuning.OrderTimeout+tuning.SweepEvery)
+}
+
+func times(n float64, d time.Duration) time.Duration { return time.Duration(n * float64(d)) }
+
+// Machine is what a node knows of a machine of its parts.
+type Machine struct {
+	Name string
+	Zone string
+	Part int
+	Up   bool
+	// Heard is when it was last heard, zero if never; Owned since when this node
+	// could have heard it.
+	Heard, Owned time.Time
+	Mute         bool // a direct question since then got no answer
+	Late         bool // holds a task whose cancellation is overdue
+	Bound        int  // tasks
+	// Inside: a controller stands in its zone, and renews leases while that is cut off.
+	Inside bool
+	// Moves: a service on it is not bound to its zone and could start elsewhere.
+	Moves bool
+}
+
+// since is from when on a machine's silence counts. After a cut its zone's workers find
+// back to us one by one: the first of them must not make the others look dead.
+func (w *Watch) since(m *Machine) time.Time {
+	at := m.Owned
+	for _, t := range []time.Time{m.Heard, w.healed[m.Zone]} {
+		if t.After(at) {
+			at = t
+		}
+	}
+	return at
+}
+
+// Victim is a machine to be deleted.
+type Victim struct{ Name, Why string }
+
+// Judgement is what follows from one look at a node's machines.
+type Judgement struct {
+	Delete []Victim
+	Probe  []string       // to be asked directly
+	Ask    []string       // to be asked for with the peers; the answer goes to Told
+	Give   map[int]string // parts whose workers report to another node
+}
+
+// word is what the peers said of a silent machine; no node: none has heard it.
+type word struct {
+	at   time.Time
+	node string
+}
+
+// Watch follows the silent machines of one node. The zero value with Rules is ready
+// for use; callers guard it.
+type Watch struct {
+	Rules  Rules
+	deaths []time.Time
+	words  map[string]word
+	asked  time.Time
+	cut    map[string]bool      // zones that are cut off
+	healed map[string]time.Time // zones that were, until when
+}
+
+// Cut tells whether a zone is cut off from this node, as of the last judgement.
+func (w *Watch) Cut(zone string) bool { return w.cut[zone] }
+
+// Troubled tells whether a zone is cut off, or was so lately that its workers may be on
+// their way back.
+func (w *Watch) Troubled(now time.Time, zone string) bool {
+	return w.cut[zone] || now.Sub(w.healed[zone]) < w.Rules.deadAfter()+tuning.FindNode
+}
+
+// Cuts gives the zones that are cut off.
+func (w *Watch) Cuts() []string { return slices.Sorted(maps.Keys(w.cut)) }
+
+// Told takes in which node has heard which of the machines that were asked for.
+func (w *Watch) Told(now time.Time, asked []string, heard map[string]string) {
+	for _, n := range asked {
+		w.words[n] = word{now, heard[n]}
+	}
+}
+
+// tally counts the machines that should be heard, and those that are.
+type tally struct{ up, heard int }
+
+func (t tally) silent() bool {
+	return t.up >= tuning.CutMachines && float64(t.heard) < tuning.CutHeard*float64(t.up)
+}
+
+// zones finds the zones that are cut off: of whose machines hardly any was heard
+// within one interval, in which each should have been. Machines that this node took
+// over a moment ago could not be heard yet and say nothing.
+func (w *Watch) zones(now time.Time, list []Machine) (whole tally) {
+	zones := map[string]tally{}
+	for i := range list {
+		m := &list[i]
+		if !m.Up || m.Heard.IsZero() && now.Sub(m.Owned) < times(tuning.CutOwned, w.Rules.Report) {
+			continue
+		}
+		t := zones[m.Zone]
+		t.up++
+		whole.up++
+		if now.Sub(m.Heard) < w.Rules.Report {
+			t.heard++
+			whole.heard++
+		}
+		zones[m.Zone] = t
+	}
+	cut := map[string]bool{}
+	for z, t := range zones {
+		if t.silent() {
+			cut[z] = true
+		}
+	}
+	for z := range w.cut {
+		if !cut[z] {
+			w.healed[z] = now
+		}
+	}
+	w.cut = cut
+	return whole
+}
+
+// Judge looks at all machines of a node.
+func (w *Watch) Judge(now time.Time, list []Machine) Judgement {
+	var j Judgement
+	if w.words == nil {
+		w.words, w.healed = map[string]word{}, map[string]time.Time{}
+	}
+	whole := w.zones(now, list)
+	var silent []*Machine
+	for i := range list {
+		m := &list[i]
+		age := now.Sub(w.since(m))
+		switch {
+		case !m.Up && m.Heard.IsZero():
+			// Whether it comes up at all is not a matter of silence.
+		case age > w.Rules.probeAfter() && m.Late:
+			// No cap and no vote can keep a cancelled task beyond its time.
+			j.Delete = append(j.Delete, Victim{m.Name, "silent with a cancelled task"})
+		case age > w.Rules.deadAfter() || m.Mute && age > w.Rules.askedAfter():
+			silent = append(silent, m)
+		case age > w.Rules.probeAfter():
+			j.Probe = append(j.Probe, m.Name)
+		}
+	}
+	w.ask(now, &j, list, silent)
+	w.deaths = slices.DeleteFunc(w.deaths, func(t time.Time) bool { return now.Sub(t) > tuning.DeadWindow })
+	up := 0
+	for i := range list {
+		if list[i].Up {
+			up++
+		}
+	}
+	// Most machines silent at once means that we are cut off, not they; unless a zone
+	// that is heard tells that it is the others that are cut.
+	if len(silent)*2 > up && up > 2 && !w.hears(whole) {
+		return j
+	}
+	most := max(2, int(tuning.DeadCap*float64(up)))
+	for _, m := range w.order(now, silent) {
+		// Only what no other node hears either is dead.
+		if v, ok := w.words[m.Name]; !ok || v.node != "" {
+			continue
+		}
+		// A service that can start elsewhere is certain to gain, so it is not paced.
+		if !m.Moves || !w.Cut(m.Zone) {
+			if len(w.deaths) >= most {
+				continue
+			}
+			w.deaths = append(w.deaths, now)
+		}
+		j.Delete = append(j.Delete, Victim{m.Name, w.why(now, m)})
+	}
+	return j
+}
+
+func (w *Watch) why(now time.Time, m *Machine) string {
+	why := fmt.Sprintf("silent for %v", now.Sub(w.since(m)).Round(time.Second))
+	if w.Cut(m.Zone) {
+		why += " in a zone that is cut off"
+	}
+	return why
+}
+
+// hears tells whether, beside the zones that are cut, others are heard well.
+func (w *Watch) hears(whole tally) bool {
+	return len(w.cut) > 0 && whole.up >= tuning.CutMachines && float64(whole.heard) >= tuning.CutElsewhere*float64(whole.up)
+}
+
+// order gives the silent machines that are due to be given up, the most needed first.
+// In a zone that is cut off a machine runs its tasks until its lease ends, which a
+// controller in the zone renews: until then it is left alone. After it, what it held must start again; an empty one is there
+// when the cut is over.
+func (w *Watch) order(now time.Time, silent []*Machine) []*Machine {
+	due := slices.DeleteFunc(silent, func(m *Machine) bool {
+		if !w.Cut(m.Zone) {
+			return false
+		}
+		age, lease := now.Sub(w.since(m)), w.Rules.Lease
+		if m.Inside {
+			return m.Bound == 0 || age < tuning.CutInside
+		}
+		return m.Bound == 0 || age < lease && !(m.Moves && age > times(tuning.CutServices, lease))
+	})
+	slices.SortStableFunc(due, func(a, b *Machine) int {
+		return cmp.Or(-cmp.Compare(moves(a), moves(b)), -cmp.Compare(a.Bound, b.Bound))
+	})
+	return due
+}
+
+// ask decides whether the peers are asked now; their answers count for a while. Where
+// most of a part's machines report to one other node, the part goes there.
+func (w *Watch) ask(now time.Time, j *Judgement, list []Machine, silent []*Machine) {
+	names := make(map[string]bool, len(silent))
+	for _, m := range silent {
+		names[m.Name] = true
+	}
+	maps.DeleteFunc(w.words, func(n string, v word) bool { return !names[n] || now.Sub(v.at) > 2*tuning.AskEvery })
+	if len(silent) > 0 && now.Sub(w.asked) >= tuning.AskEvery {
+		w.asked = now
+		j.Ask = slices.Sorted(maps.Keys(names))
+	}
+	machines, heard := map[int]int{}, map[int]map[string]int{}
+	for i := range list {
+		m := &list[i]
+		if m.Up {
+			machines[m.Part]++
+		}
+		if v, ok := w.words[m.Name]; ok && v.node != "" {
+			if heard[m.Part] == nil {
+				heard[m.Part] = map[string]int{}
+			}
+			heard[m.Part][v.node]++
+		}
+	}
+	for p, nodes := range heard {
+		for node, n := range nodes {
+			if 2*n > machines[p] {
+				if j.Give == nil {
+					j.Give = map[int]string{}
+				}
+				j.Give[p] = node
+			}
+		}
+	}
+}
+
+func moves(m *Machine) int {
+	if m.Moves {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/silence/silence_test.go
@@ -0,0 +1,222 @@
+package silence
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sableusher/internal/seeded"
+)
+
+func TestMain(m *testing.M) { seeded.Main(m) }
+
+var (
+	rules = Rules{Report: 6 * time.Second, Lease: 31 * time.Second}
+	start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+)
+
+// site is a node's machines, as a test moves them on: those that are not silent report
+// within every interval.
+type site struct {
+	w      Watch
+	list   []Machine
+	silent map[string]bool
+	others map[string]string // machines that another node hears
+	gone   map[string]time.Time
+}
+
+func newSite(zones, each int) *site {
+	s := &site{w: Watch{Rules: rules}, silent: map[string]bool{}, others: map[string]string{}, gone: map[string]time.Time{}}
+	for i := range zones * each {
+		s.list = append(s.list, Machine{Name: fmt.Sprintf("vm-%04d", i), Zone: fmt.Sprint("zone-", i%zones), Up: true, Bound: i % 5, Owned: start})
+	}
+	return s
+}
+
+// step is one look, a second after the one before.
+func (s *site) step(now time.Time) Judgement {
+	for i := range s.list {
+		m := &s.list[i]
+		// Each reports at a second of its own within the interval.
+		if !s.silent[m.Name] && (int(now.Sub(start)/time.Second)+i)%int(rules.Report/time.Second) == 0 {
+			m.Heard, m.Mute = now, false
+		}
+	}
+	j := s.w.Judge(now, s.list)
+	for _, n := range j.Probe {
+		for i := range s.list {
+			if s.list[i].Name == n && s.silent[n] {
+				s.list[i].Mute = true
+			}
+		}
+	}
+	if len(j.Ask) > 0 {
+		s.w.Told(now, j.Ask, s.others)
+	}
+	for _, v := range j.Delete {
+		s.gone[v.Name] = now
+		s.list = slices.DeleteFunc(s.list, func(m Machine) bool { return m.Name == v.Name })
+	}
+	return j
+}
+
+func (s *site) run(from, to int) {
+	for t := from; t < to; t++ {
+		s.step(start.Add(time.Duration(t) * time.Second))
+	}
+}
+
+// TestDeadMachinesAreGivenUpSoon: machines that die here and there are replaced within
+// seconds, however many live, as far as the pace of deletions allows.
+func TestDeadMachinesAreGivenUpSoon(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSite(rapid.IntRange(1, 4).Draw(t, "zones"), rapid.IntRange(12, 60).Draw(t, "each"))
+		n := rapid.IntRange(1, len(s.list)/10).Draw(t, "dead")
+		s.run(0, 20)
+		for range n {
+			s.silent[s.list[rapid.IntRange(0, len(s.list)-1).Draw(t, "machine")].Name] = true
+		}
+		s.run(20, 60)
+		for name := range s.silent {
+			if at, ok := s.gone[name]; !ok || at.Sub(start) > 40*time.Second {
+				t.Fatalf("%s, dead for %v, is still there", name, at.Sub(start)-20*time.Second)
+			}
+		}
+		if len(s.gone) != len(s.silent) {
+			t.Fatalf("%d given up, %d dead", len(s.gone), len(s.silent))
+		}
+	})
+}
+
+// TestZoneThatIsCutIsNotEmptied: while the leases in it last nothing of a zone that
+// falls silent is given up, whenever that happens and for however long; once it is
+// heard again what is left is kept; and the other zones' dead are given up meanwhile.
+func TestZoneThatIsCutIsNotEmptied(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		zones := rapid.IntRange(2, 4).Draw(t, "zones")
+		s := newSite(zones, rapid.IntRange(8, 60).Draw(t, "each"))
+		from := rapid.IntRange(12, 30).Draw(t, "from")
+		length := rapid.IntRange(5, 90).Draw(t, "length")
+		s.run(0, from)
+		for _, m := range s.list {
+			if m.Zone == "zone-0" {
+				s.silent[m.Name] = true
+			}
+		}
+		dead := s.list[1].Name // of another zone
+		s.silent[dead] = true
+		s.run(from, from+length)
+		for _, m := range slices.Clone(s.list) {
+			if m.Zone == "zone-0" {
+				delete(s.silent, m.Name)
+			}
+		}
+		s.run(from+length, from+length+30)
+		begin := start.Add(time.Duration(from) * time.Second)
+		// It is over for us once the first of its machines have been heard again.
+		over := begin.Add(time.Duration(length)*time.Second + rules.Report)
+		for name, at := range s.gone {
+			if name != dead && (at.Sub(begin) < rules.Lease-rules.Report-time.Second || at.After(over)) {
+				t.Fatalf("%s given up %v after the cut began", name, at.Sub(begin))
+			}
+		}
+		if at, ok := s.gone[dead]; !ok || at.Sub(start) > time.Duration(from+25)*time.Second {
+			t.Fatalf("the dead machine of a zone that is heard is there yet, or went late: %v", at)
+		}
+		if len(s.w.Cuts()) > 0 {
+			t.Fatalf("%v still counts as cut off", s.w.Cuts())
+		}
+	})
+}
+
+// TestWhatACutZoneHeldStartsAgain: past their leases, machines with tasks are given up,
+// services that can move first and a little earlier, empty ones never.
+func TestWhatACutZoneHeldStartsAgain(t *testing.T) {
+	s := newSite(2, 30)
+	for i := range s.list {
+		if m := &s.list[i]; m.Zone == "zone-0" {
+			s.silent[m.Name] = i >= 0
+			m.Moves = m.Bound > 0 && i%3 == 0
+		}
+	}
+	list := slices.Clone(s.list)
+	s.run(0, 200)
+	var moved, rest []time.Time
+	for _, m := range list {
+		at, ok := s.gone[m.Name]
+		if want := m.Zone == "zone-0" && m.Bound > 0; ok != want {
+			t.Errorf("%s in %s with %d tasks: given up %v", m.Name, m.Zone, m.Bound, ok)
+		}
+		if ok && m.Moves {
+			moved = append(moved, at)
+		} else if ok {
+			rest = append(rest, at)
+		}
+	}
+	if len(moved) == 0 || slices.MaxFunc(moved, time.Time.Compare).After(slices.MinFunc(rest, time.Time.Compare)) {
+		t.Errorf("services' machines went at %v, others at %v", moved, rest)
+	}
+}
+
+// TestOurOwnCutEmptiesNothing: a node that hears nobody gives up nothing, and its parts
+// go to the node that hears their workers.
+func TestOurOwnCutEmptiesNothing(t *testing.T) {
+	for _, hears := range []bool{false, true} {
+		s := newSite(3, 20)
+		s.run(0, 20)
+		for _, m := range s.list {
+			s.silent[m.Name] = true
+			if hears {
+				s.others[m.Name] = "node-1"
+			}
+		}
+		given := false
+		for i := 20; i < 200; i++ {
+			j := s.step(start.Add(time.Duration(i) * time.Second))
+			given = given || j.Give[0] == "node-1"
+		}
+		if len(s.gone) > 0 || given != hears {
+			t.Errorf("another node hears them: %v; %d given up, part given away: %v", hears, len(s.gone), given)
+		}
+	}
+}
+
+// TestCancelledTaskEndsWhateverIsCut: no guard keeps a cancelled task beyond its time.
+func TestCancelledTaskEndsWhateverIsCut(t *testing.T) {
+	s := newSite(2, 20)
+	s.run(0, 20)
+	for i := range s.list {
+		s.silent[s.list[i].Name] = true
+		s.list[i].Late = i == 7
+	}
+	name := s.list[7].Name
+	s.run(20, 40)
+	if at, ok := s.gone[name]; !ok || len(s.gone) != 1 || at.Sub(start) > 40*time.Second {
+		t.Errorf("given up: %v", s.gone)
+	}
+}
+
+// TestNewOwnerSaysNothingOfItsZone: machines that a node has just taken over and not
+// heard yet don't make their zone look cut off.
+func TestNewOwnerSaysNothingOfItsZone(t *testing.T) {
+	s := newSite(1, 10)
+	s.run(0, 20)
+	for i := range 40 {
+		s.list = append(s.list, Machine{Name: fmt.Sprint("taken-", i), Zone: "zone-0", Part: 1, Up: true, Owned: start.Add(20 * time.Second)})
+		s.silent[fmt.Sprint("taken-", i)] = true
+	}
+	for i := 20; i < 30; i++ {
+		if s.step(start.Add(time.Duration(i) * time.Second)); s.w.Cut("zone-0") {
+			t.Fatalf("cut off %d s after the take-over", i-20)
+		}
+	}
+	for name := range s.gone {
+		if strings.HasPrefix(name, "taken-") {
+			t.Errorf("%s given up", name)
+		}
+	}
+}
--- a/internal/world/awaits.go
+++ b/internal/world/awaits.go
@@ -50,6 +50,7 @@
 	if j == nil || !j.Known || j.Doomed {
 		return
 	}
+	w.touchJob(id)
 	for _, a := range j.Spec.Awaits {
 		if _, ok := j.met[a]; ok {
 			continue
--- a/internal/world/records.go
+++ b/internal/world/records.go
@@ -1,5 +1,3 @@
-// Package world is a node's view of the durable records: jobs, machines, parts,
-// sessions, grants and rentals, with the indexes that decisions need.
 package world
 
 import (
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -147,10 +147,8 @@
 	// Usage is what bound tasks take, by part and team.
 	Usage []map[string]Amount
 	// ByPart lists the machines of each part by name.
-	ByPart [][]*Machine
-	// Touched names the machines whose record or bindings changed since they
-	// were last taken.
-	touched map[string]struct{}
+	ByPart    [][]*Machine
+	followers []*News
 	// Orphans are bindings to machines that no record knows.
 	Orphans map[string]map[TaskRef]Binding
 
@@ -175,7 +173,7 @@
 		Size: size, Jobs: map[string]*Job{}, Machines: map[string]*Machine{}, Parts: map[int]Part{},
 		Nodes: map[string]Node{}, Quotas: map[string]Quota{}, Rentals: map[string]Rental{},
 		Types: map[string]wire.MachineType{}, Orphans: map[string]map[TaskRef]Binding{}, log: log,
-		touched: map[string]struct{}{}, rentalOf: map[string]string{}, ByPart: make([][]*Machine, size),
+		rentalOf: map[string]string{}, ByPart: make([][]*Machine, size),
 		types: map[string]wire.MachineType{}, waiters: map[string]map[string]struct{}{}, over: map[string]FinalRecord{},
 		unread: map[string]struct{}{}, doomed: map[string]struct{}{},
 	}
@@ -340,13 +338,14 @@
 
 func (w *World) putJob(rec JobRecord, stamp uint64) {
 	id := rec.Spec.ID
+	w.touchJob(id)
 	j := w.job(id)
 	tasks := rec.Tasks
 	rec.Tasks = nil
 	if rec.CancelMs != j.CancelMs || rec.Yield != j.Yield {
 		j.Each(func(t Task) {
 			if t.State == Bound {
-				w.touched[t.Machine] = struct{}{}
+				w.touchMachine(t.Machine)
 			}
 		})
 	}
@@ -377,6 +376,7 @@
 // record does not place is kept aside until that one changes: both change in one
 // transaction, but one comes first.
 func (w *World) putChunk(id, key string, tasks []Task, stamp uint64) {
+	w.touchJob(id)
 	j := w.job(id)
 	if k, ok := j.place(key); ok && j.Known {
 		w.setChunk(j, k, tasks, stamp)
@@ -394,6 +394,7 @@
 	if j == nil {
 		return
 	}
+	w.touchJob(id)
 	delete(j.strays, key)
 	if k, ok := j.place(key); ok && j.Known {
 		w.setChunk(j, k, nil, 0)
@@ -479,7 +480,7 @@
 			j.Where = make([]int, w.Size)
 		}
 		j.Where[part] += n
-		w.touched[t.Machine] = struct{}{}
+		w.touchMachine(t.Machine)
 		m := w.Machines[t.Machine]
 		var set map[TaskRef]Binding
 		if m != nil {
@@ -508,6 +509,7 @@
 	if j == nil {
 		return
 	}
+	w.touchJob(id)
 	nj := &Job{strays: j.strays}
 	if j.Known {
 		w.unlay(j)
@@ -566,7 +568,7 @@
 func (w *World) putMachine(name string, rec MachineRecord, stamp uint64) {
 	m := w.machine(name)
 	m.MachineRecord, m.Stamp = rec, stamp
-	w.touched[name] = struct{}{}
+	w.touchMachine(name)
 }
 
 func (w *World) dropMachine(name string) {
@@ -574,7 +576,7 @@
 	if m == nil {
 		return
 	}
-	w.touched[name] = struct{}{}
+	w.touchMachine(name)
 	if rental, ok := w.Rentals[w.rentalOf[name]]; ok {
 		// Its rental still lists it: it counts as not yet up.
 		m.MachineRecord, m.Stamp = rental.machine(), 0
@@ -609,7 +611,7 @@
 		w.rentalOf[n] = name
 		if w.Machines[n] == nil {
 			w.machine(n).MachineRecord = rec.machine()
-			w.touched[n] = struct{}{}
+			w.touchMachine(n)
 		}
 	}
 }
@@ -629,12 +631,51 @@
 // stay until the rental is dropped, or it would count as coming up again.
 func (w *World) Rented(name string) bool { return w.rentalOf[name] != "" }
 
-// Touched takes the names of the machines whose record or bindings changed
-// since the last call, which one caller makes.
-func (w *World) Touched() map[string]struct{} {
+// News names what changed since it was last taken: machines whose record or bindings
+// did, and jobs of which any record did or what they await. Work that follows it costs
+// what changed, not what there is.
+type News struct {
+	machines, jobs map[string]struct{}
+}
+
+// Follow gives the news from now on, which its caller takes now and then.
+func (w *World) Follow() *News {
 	w.Lock()
 	defer w.Unlock()
-	out := w.touched
-	w.touched = map[string]struct{}{}
+	n := &News{map[string]struct{}{}, map[string]struct{}{}}
+	for name := range w.Machines {
+		n.machines[name] = struct{}{}
+	}
+	for id := range w.Jobs {
+		n.jobs[id] = struct{}{}
+	}
+	w.followers = append(w.followers, n)
+	return n
+}
+
+// Machines takes the machines of the news. Callers hold the lock, at least for reading,
+// and no two take at once.
+func (n *News) Machines() map[string]struct{} {
+	out := n.machines
+	n.machines = map[string]struct{}{}
 	return out
 }
+
+// Jobs takes the jobs of the news; as Machines.
+func (n *News) Jobs() map[string]struct{} {
+	out := n.jobs
+	n.jobs = map[string]struct{}{}
+	return out
+}
+
+func (w *World) touchMachine(name string) {
+	for _, n := range w.followers {
+		n.machines[name] = struct{}{}
+	}
+}
+
+func (w *World) touchJob(id string) {
+	for _, n := range w.followers {
+		n.jobs[id] = struct{}{}
+	}
+}
