A worker's new session is recorded before all else

After leases had run out in the zone, workers had new sessions; that was recorded lazily. Nodes that place gangs and services bound them to the session on record, the machines' owner ended them at once, both with urgent changes, and so without end: the budget never reached the records that would have ended it.

Ruled out: refusals (none), failing guards, a node cut from the state service.

Change: a changed session goes before all else; that a machine is up stays lazy. A test holds the two apart.

--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -321,6 +321,34 @@
 	}
 }
 
+// TestNewSessionIsRecordedFirst: other nodes bind gangs and services to the session on
+// record. A worker's new one goes before all else; that a machine is up can wait. Else
+// binding and ending such tasks, which are urgent, would leave no budget for the
+// records that would end it.
+func TestNewSessionIsRecordedFirst(t *testing.T) {
+	f := newField(t)
+	name := f.machine(1, false)
+	i := world.PartOf(name, testParts)
+	beat := func(session uint64, up bool) store.Item {
+		f.put(world.MachineKey(name), world.MachineRecord{Type: "m", Zone: "east", Address: "10.1.0.1:9000", AtMs: 1, Up: up})
+		f.engines[i].fleet.Adoptions()
+		f.fleets[i].Beat(&wire.Report{Machine: name, Address: "10.1.0.1:9000", Type: "m", Zone: "east", Session: session, Seq: 2, Token: 7})
+		f.world.RLock()
+		defer f.world.RUnlock()
+		r := f.engines[i].newRound(testNow)
+		if r.adopt(); len(r.out) != 1 {
+			t.Fatalf("%d records written", len(r.out))
+		}
+		return r.out[0].item
+	}
+	if it := beat(1, false); it.Urgent || !it.Lazy {
+		t.Errorf("up: %+v", it)
+	}
+	if it := beat(2, true); !it.Urgent || it.Lazy {
+		t.Errorf("a new session: %+v", it)
+	}
+}
+
 // TestStartsGoWhereTheImageIs: of machines with room, those that hold the image
 // are taken, also in other nodes' parts, of which hints tell.
 func TestStartsGoWhereTheImageIs(t *testing.T) {
--- a/internal/place/settle.go
+++ b/internal/place/settle.go
@@ -503,13 +503,19 @@
 		} else {
 			r.log.Info("adopting a machine", "machine", name, "type", rep.Type, "zone", rep.Zone)
 		}
-		rec.Type, rec.Zone, rec.Spot, rec.Address, rec.Up, rec.Session = rep.Type, rep.Zone, rep.Spot, rep.Address, true, rep.Session
-		if rec.Session == 1 {
-			rec.Session = 0
+		session := rep.Session
+		if session == 1 {
+			session = 0
 		}
+		renewed := m != nil && rec.Session != session
+		rec.Type, rec.Zone, rec.Spot, rec.Address, rec.Up, rec.Session = rep.Type, rep.Zone, rep.Spot, rep.Address, true, session
 		r.writeMachine("machine is up "+name, name, part, rec, stamp)
-		// Others only plan with it: its owner uses it at once.
-		r.out[len(r.out)-1].item.Lazy = m != nil
+		// That it is up can wait: others only plan with it, its owner uses it at once. A new
+		// session can't: others bind gangs and services to the one on record, which
+		// this node ends at once, and both over and over. After a zone's leases had run
+		// out that used up the whole budget, so that the records were never mended.
+		it := &r.out[len(r.out)-1].item
+		it.Urgent, it.Lazy = renewed, m != nil && !renewed
 	}
 }
 
