Review: machines coming up count in each round; waiting cancellations are bounded

Read again after the change: a gang's zone was chosen with machines coming up only in rounds that count demand, so that its kept room could change zone from round to round; a zone that is never heard again was paid for ever where its machines were empty; hundreds of cancellations waiting for tasks out of reach could have taken all places of users' requests. Each is bounded or as before now. Tests: silence.TestWhatACutZoneHeldStartsAgain.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -55,6 +55,7 @@
 	teams   map[string]config.Team
 	log     *slog.Logger
 	slots   chan struct{}
+	aborts  chan struct{} // cancellations that wait for tasks to leave
 
 	mu     sync.Mutex
 	finals map[string]world.FinalRecord
@@ -64,7 +65,7 @@
 // New makes the handlers.
 func New(set *config.Settings, w *world.World, rec store.Reader, c Committer, v View, workers Workers, log *slog.Logger) *Intake {
 	in := &Intake{world: w, records: rec, commit: c, view: v, workers: workers, teams: map[string]config.Team{}, log: log,
-		slots: make(chan struct{}, tuning.BusyRequests), finals: map[string]world.FinalRecord{}}
+		slots: make(chan struct{}, tuning.BusyRequests), aborts: make(chan struct{}, tuning.AbortsWaiting), finals: map[string]world.FinalRecord{}}
 	for _, t := range set.Deployment.Teams {
 		in.teams[t.Name] = t
 	}
@@ -382,8 +383,15 @@
 }
 
 // left waits until no task of a cancelled job is on a machine, as far as this view
-// goes, for as long as a cancellation may take.
+// goes, for as long as a cancellation may take. Only some may wait at once: many whose
+// machines can't be reached must not keep submissions out.
 func (in *Intake) left(ctx context.Context, id string) bool {
+	select {
+	case in.aborts <- struct{}{}:
+		defer func() { <-in.aborts }()
+	default:
+		return false
+	}
 	ctx, cancel := context.WithTimeout(ctx, tuning.AbortTimeout)
 	defer cancel()
 	look := time.NewTicker(tuning.AbortLook)
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -276,11 +276,9 @@
 	r.counts = leads && r.now.Sub(r.demand.At) >= tuning.DemandEvery
 	queue := r.queue(s.hasRoom())
 	s.narrow(queue)
-	if r.counts {
-		s.gather()
-	}
 	d := Demand{At: r.now}
 	if len(queue) > 0 {
+		s.gather()
 		total := map[string]world.Amount{}
 		for p := range r.world.Size {
 			for team, a := range r.world.Usage[p] {
@@ -416,8 +414,8 @@
 	du.left += len(picks)
 }
 
-// spill looks elsewhere for room for what the part of a job had none for, then, where
-// the pool's demand is counted, at machines that are coming up; the rest is demand.
+// spill looks elsewhere for room for what the part of a job had none for, then
+// at machines that are coming up; the rest is demand for the pool.
 func (r *round) spill(du *due, s *stock, d *Demand) {
 	j, spec := du.job, &du.job.Spec
 	if du.left == 0 {
@@ -443,9 +441,7 @@
 	}
 	r.waiting(j, "no room", nil)
 	short := du.left
-	if r.counts {
-		s.expect(du, &z)
-	}
+	s.expect(du, &z)
 	if du.left > 0 && r.counts {
 		d.Groups = append(d.Groups, Group{Spec: spec, Count: du.left, Zone: z.pin, Rank: du.rank, Since: j.Since()})
 	}
@@ -466,11 +462,9 @@
 			room[n.m.Zone] += fits(du.need, n.free)
 		}
 	}
-	if r.counts {
-		for _, b := range r.stock.bins {
-			if allowed(&du.job.Spec, b.like.m) {
-				room[b.like.m.Zone] += len(b.nodes) * fits(du.need, b.free)
-			}
+	for _, b := range r.stock.bins {
+		if allowed(&du.job.Spec, b.like.m) {
+			room[b.like.m.Zone] += len(b.nodes) * fits(du.need, b.free)
 		}
 	}
 	for zone, c := range room {
--- a/internal/place/room.go
+++ b/internal/place/room.go
@@ -310,7 +310,7 @@
 	nodes []*node
 }
 
-// gather puts the machines that are coming up into bins.
+// gather puts the machines that are coming up into bins, if anything waits for room.
 func (s *stock) gather() {
 	type alike struct {
 		typ, zone string
--- a/internal/silence/silence.go
+++ b/internal/silence/silence.go
@@ -225,18 +225,18 @@
 
 // order gives the silent machines that are due to be given up, the most needed first.
 // In a zone that is cut off a machine runs its tasks until its lease ends, which a
-// controller in the zone renews: until then it is left alone. After it, what it held must start again; an empty one is there
-// when the cut is over.
+// controller in the zone renews: until then it is left alone. After it, what it held must
+// start again; an empty one is waited for as long as one with a controller.
 func (w *Watch) order(now time.Time, silent []*Machine) []*Machine {
 	due := slices.DeleteFunc(silent, func(m *Machine) bool {
 		if !w.Cut(m.Zone) {
 			return false
 		}
 		age, lease := now.Sub(w.since(m)), w.Rules.Lease
-		if m.Inside {
-			return m.Bound == 0 || age < tuning.CutInside
+		if m.Inside || m.Bound == 0 {
+			return age < tuning.CutInside
 		}
-		return m.Bound == 0 || age < lease && !(m.Moves && age > times(tuning.CutServices, lease))
+		return age < lease && !(m.Moves && age > times(tuning.CutServices, lease))
 	})
 	slices.SortStableFunc(due, func(a, b *Machine) int {
 		return cmp.Or(-cmp.Compare(moves(a), moves(b)), -cmp.Compare(a.Bound, b.Bound))
--- a/internal/silence/silence_test.go
+++ b/internal/silence/silence_test.go
@@ -134,7 +134,7 @@
 }
 
 // TestWhatACutZoneHeldStartsAgain: past their leases, machines with tasks are given up,
-// services that can move first and a little earlier, empty ones never.
+// services that can move first and earlier, empty ones only after minutes.
 func TestWhatACutZoneHeldStartsAgain(t *testing.T) {
 	s := newSite(2, 30)
 	for i := range s.list {
@@ -144,7 +144,7 @@
 		}
 	}
 	list := slices.Clone(s.list)
-	s.run(0, 200)
+	s.run(0, 110)
 	var moved, rest []time.Time
 	for _, m := range list {
 		at, ok := s.gone[m.Name]
@@ -160,6 +160,10 @@
 	if len(moved) == 0 || slices.MaxFunc(moved, time.Time.Compare).After(slices.MinFunc(rest, time.Time.Compare)) {
 		t.Errorf("services' machines went at %v, others at %v", moved, rest)
 	}
+	s.run(110, 300)
+	if slices.ContainsFunc(s.list, func(m Machine) bool { return m.Zone == "zone-0" }) {
+		t.Error("a zone that is never heard again is paid for ever")
+	}
 }
 
 // TestOurOwnCutEmptiesNothing: a node that hears nobody gives up nothing, and its parts
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -113,6 +113,9 @@
 	// AbortTimeout is how long a cancellation may wait for the job's tasks to leave
 	// their machines; longer ones are asked again. Most leave within a second.
 	AbortTimeout = 2 * time.Second
+	// AbortsWaiting bounds the cancellations that wait so at once, a quarter of the
+	// requests being served.
+	AbortsWaiting = BusyRequests / 4
 	// AbortLook is how often it is looked whether they have.
 	AbortLook = 50 * time.Millisecond
 	// RetryAfterS is what a shed request is told, in seconds.
