Cancellations are told at once until all nodes tell them late; a mark in the record

Ruled out: telling late beside nodes that don't; relying on the level alone, as what an old process told before activation must stay told after it.

Answers on an old view stop what that view shows as cancelled. A cancelled job without the mark whose record was written after the level is answered 503 until its last task has left. The stand-in tests of cuts share one play.

Tests: intake.TestCancellationBesideOlderVersions, fleet.TestCancelledTasksEndBehindACut.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -109,7 +109,7 @@
 }
 
 // caretake renews the lease of a worker whose owner is out of reach, as is this node's
-// own way to the state service: both are cut off together. It gives no orders. The worker
+// own way to the state service: both are cut off together. It starts nothing. The worker
 // takes an answer with the token it has seen; one that has seen a higher one has a
 // newer owner. Callers hold both locks.
 func (f *Fleet) caretake(r *wire.Report, part int, now, fresh time.Time) (wire.Orders, bool) {
@@ -119,7 +119,25 @@
 		f.reached == nil || now.Sub(f.reached(p.Owner)) < tuning.OwnerLost {
 		return wire.Orders{}, false
 	}
-	return wire.Orders{Token: p.Token, Orders: []wire.Order{}}, true
+	return f.stops(r, rec, p.Token), true
+}
+
+// stops are the orders on a view that may be old: nothing starts, but what it knows to be
+// cancelled ends. Callers hold both locks.
+func (f *Fleet) stops(r *wire.Report, rec *world.Machine, token uint64) wire.Orders {
+	out := wire.Orders{Token: token, Orders: []wire.Order{}}
+	if rec == nil {
+		return out
+	}
+	for _, t := range r.Tasks {
+		ref, ok := world.ParseRef(t.Task)
+		b, bound := rec.Bound[ref]
+		if ok && bound && b.Attempt == t.Attempt && b.Job.Cancelled() && t.State != wire.TaskExited && len(out.Orders) < tuning.OrdersMax {
+			grace := 0.0
+			out.Orders = append(out.Orders, wire.Order{Op: wire.OpStop, Task: t.Task, Attempt: t.Attempt, GraceS: &grace})
+		}
+	}
+	return out
 }
 
 // Beat answers a worker's report.
@@ -173,7 +191,7 @@
 	}
 	out := wire.Orders{Token: token, Orders: []wire.Order{}}
 	if now.Sub(fresh) > f.staleLimit() {
-		return http.StatusOK, out // the tasks it has go on, nothing starts
+		return http.StatusOK, f.stops(r, rec, token) // the tasks it has go on
 	}
 	if rec == nil || !rec.Up || rec.Address != r.Address || max(rec.Session, 1) != r.Session {
 		f.adopt[r.Machine] = *r
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
@@ -100,6 +101,29 @@
 	}
 }
 
+// TestCancelledTasksEndBehindACut: an answer on an old view starts nothing, and stops what
+// was cancelled before it: that may have been told at once by a version before.
+func TestCancelledTasksEndBehindACut(t *testing.T) {
+	for _, part := range []int{0, 1} {
+		k := newDesk(tuning.LevelCertain)
+		m := k.machine(part)
+		k.world.Begin()
+		for i, cancelMs := range []int64{5, 0} {
+			id := fmt.Sprintf("run-%d", i)
+			k.world.Put(world.JobKey(id), wire.MustEncode(world.JobRecord{Spec: wire.Spec{ID: id, Kind: wire.KindService, Tasks: 2}, CancelMs: cancelMs,
+				Tasks: []world.Task{{State: world.Bound, Attempt: 1, Machine: m, Session: 1}, {Index: 1, State: world.Bound, Attempt: 1, Machine: m, Session: 1}}}), 2)
+		}
+		k.world.Flush()
+		k.fresh, k.reached = time.Now().Add(-time.Minute), time.Now().Add(-time.Minute)
+		status, body := k.Beat(&wire.Report{Machine: m, Session: 1, Seq: 1, Token: 5, Tasks: []wire.TaskReport{
+			{Task: "run-0/0", Attempt: 1, State: wire.TaskRunning}, {Task: "run-1/0", Attempt: 1, State: wire.TaskRunning}}})
+		o, _ := body.(wire.Orders)
+		if status != http.StatusOK || len(o.Orders) != 1 || o.Orders[0].Op != wire.OpStop || o.Orders[0].Task != "run-0/0" {
+			t.Errorf("part %d: %d %+v", part, status, o)
+		}
+	}
+}
+
 // TestThawedNodeBelievesNothing: a process that stood still renews no lease, of its own
 // workers or others', until its view is confirmed, at whatever moment it goes on.
 func TestThawedNodeBelievesNothing(t *testing.T) {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -265,9 +265,9 @@
 	}
 	in.world.RLock()
 	if j := in.world.Jobs[id]; j != nil && j.Known {
-		st, undecided := in.live(id, j), in.world.Undecided(j)
+		st, undecided := in.live(id, j), in.world.Undecided(j) || in.doubtful(j)
 		in.world.RUnlock()
-		if undecided && st.Status != wire.JobCancelled {
+		if undecided && (st.Status != wire.JobCancelled || in.doubtful(j)) {
 			return wire.Status{}, errUndecided
 		}
 		return st, nil
@@ -281,6 +281,13 @@
 	return finalStatus(id, f), nil
 }
 
+// doubtful tells whether a cancellation may neither be told nor denied: it may have been
+// told at once by a version before LevelCertain, or may be the late change of one that is
+// gone. That passes with the last task. Callers hold the world's lock.
+func (in *Intake) doubtful(j *world.Job) bool {
+	return j.Cancelled() && !j.Certain && j.Bound > 0 && in.world.Level >= tuning.LevelCertain && j.Stamp > in.world.LevelStamp
+}
+
 // errUndecided: the job falls with one that it needs, or may; until its own
 // record says so it must not be called waiting.
 var errUndecided = errors.New("what it awaits is being looked at")
@@ -289,7 +296,7 @@
 func (in *Intake) live(id string, j *world.Job) wire.Status {
 	st := wire.Status{ID: id, Status: wire.JobPending, Done: j.Done, Running: j.Bound}
 	switch {
-	case j.Cancelled() && j.Bound == 0 && in.view.Revision() >= j.Stamp:
+	case j.Cancelled() && (!j.Certain || j.Bound == 0 && in.view.Revision() >= j.Stamp):
 		// Told once no task is left, never before: nothing that renews a lease
 		// somewhere behind a cut can then keep one beyond its time. A binding in a
 		// further record may lie just before the cancellation: the view holds it then.
@@ -361,15 +368,15 @@
 			wire.Reply(w, http.StatusOK, wire.Accepted{ID: id, Status: st.Status})
 			return
 		}
-		if it, idle, ok := in.cancellation(id); ok && !marked {
+		if it, sure, ok := in.cancellation(id); ok && !marked {
 			if _, err = in.commit.Do(ctx, it); errors.Is(err, store.ErrGuard) {
 				continue
 			} else if err != nil {
 				break
 			}
 			marked = true
-			in.log.Debug("job cancelled", "job", id, "idle", idle)
-			if idle { // nor can any be since: it would have changed the record's stamp
+			in.log.Debug("job cancelled", "job", id, "sure", sure)
+			if sure {
 				wire.Reply(w, http.StatusOK, wire.Accepted{ID: id, Status: wire.JobCancelled})
 				return
 			}
@@ -413,23 +420,30 @@
 }
 
 // cancellation marks a live job's record. The record's stamp guards it, so that
-// no task can be bound under the old one afterwards. idle tells that none was before.
-func (in *Intake) cancellation(id string) (it store.Item, idle, ok bool) {
+// no task can be bound under the old one afterwards. sure tells that it may be told at
+// once: no task was bound before, or leases still end in time by themselves, as not all
+// nodes are known to tell cancellations late. The record of that guards it then.
+func (in *Intake) cancellation(id string) (it store.Item, sure, ok bool) {
 	in.world.RLock()
 	defer in.world.RUnlock()
 	j := in.world.Jobs[id]
 	if j == nil || !j.Known || j.Cancelled() {
 		return store.Item{}, false, false
 	}
-	idle = j.Bound == 0 && j.Records() == 1 // its tasks all stand in the record that is marked
 	marked := *j
 	marked.CancelMs = max(time.Now().UnixMilli(), 1)
+	var level []wire.Guard
+	if marked.Certain = in.world.Level >= tuning.LevelCertain; marked.Certain {
+		sure = j.Bound == 0 && j.Records() == 1 // its tasks all stand in the record that is marked
+	} else {
+		sure, level = true, []wire.Guard{{Key: world.LevelKey, Stamp: in.world.LevelStamp}}
+	}
 	if fit := in.world.Fit(in.commit.Room()); in.world.Level >= tuning.LevelPipelines && j.Outgrows(fit) {
 		// The record as it is could be too large to be written again.
 		if guards, ops, ok := marked.Move(fit, 0); ok {
-			return store.Item{Guards: guards, Ops: ops, Urgent: true}, idle, true
+			return store.Item{Guards: append(guards, level...), Ops: ops, Urgent: true}, sure, true
 		}
 	}
 	op := marked.Encode(0, nil)
-	return store.Item{Guards: []wire.Guard{{Key: op.Set, Stamp: j.Stamp}}, Ops: []wire.Op{op}, Urgent: true}, idle, true
+	return store.Item{Guards: append(level, wire.Guard{Key: op.Set, Stamp: j.Stamp}), Ops: []wire.Op{op}, Urgent: true}, sure, true
 }
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -180,7 +181,7 @@
 	if status, st := ask(h, http.MethodPost, "/v1/jobs/run-000001/abort", nil); status != 200 || st.Status != wire.JobCancelled || len(o.done) != 1 {
 		t.Errorf("live job: %d %q, %d writes", status, st.Status, len(o.done))
 	}
-	if g := o.done[0].Guards; len(g) != 1 || g[0].Stamp != 7 {
+	if g := o.done[0].Guards; !slices.Contains(g, wire.Guard{Key: world.JobKey("run-000001"), Stamp: 7}) {
 		t.Errorf("guards %+v", g)
 	}
 	o.doErr = store.ErrUnknown
@@ -200,13 +201,17 @@
 		return ask(h, http.MethodPost, "/v1/jobs/run-000001/abort", nil)
 	}
 	poll := func(h http.Handler) string {
-		_, st := ask(h, http.MethodGet, "/v1/jobs/run-000001", nil)
+		status, st := ask(h, http.MethodGet, "/v1/jobs/run-000001", nil)
+		if status == http.StatusServiceUnavailable {
+			return "unsure"
+		}
 		return st.Status
 	}
 	o, h := setup(true)
+	o.put(world.LevelKey, world.LevelRecord{Level: tuning.LevelCertain})
 	o.put(world.JobKey("run-000001"), world.JobRecord{Spec: spec(), Tasks: bound})
 	o.applied = func(store.Item) {
-		o.put(world.JobKey("run-000001"), world.JobRecord{Spec: spec(), Tasks: bound, CancelMs: 5})
+		o.put(world.JobKey("run-000001"), world.JobRecord{Spec: spec(), Tasks: bound, CancelMs: 5, Certain: true})
 	}
 	if status, _ := abort(h); status != 503 || len(o.done) != 1 {
 		t.Errorf("a task is on a machine: %d, %d writes", status, len(o.done))
@@ -217,7 +222,7 @@
 	if status, _ := abort(h); status != 503 || len(o.done) != 1 {
 		t.Errorf("asked again: %d, %d writes", status, len(o.done))
 	}
-	o.put(world.JobKey("run-000001"), world.JobRecord{Spec: spec(), CancelMs: 5})
+	o.put(world.JobKey("run-000001"), world.JobRecord{Spec: spec(), CancelMs: 5, Certain: true})
 	if o.seen = 6; poll(h) == wire.JobCancelled {
 		t.Error("told though the view may lack a binding")
 	}
@@ -227,15 +232,53 @@
 	}
 	// The exit is seen while the request waits.
 	o, h = setup(true)
+	o.put(world.LevelKey, world.LevelRecord{Level: tuning.LevelCertain})
 	o.put(world.JobKey("run-000001"), world.JobRecord{Spec: spec(), Tasks: bound})
 	o.applied = func(store.Item) {
-		o.put(world.JobKey("run-000001"), world.JobRecord{Spec: spec(), CancelMs: 5})
+		o.put(world.JobKey("run-000001"), world.JobRecord{Spec: spec(), CancelMs: 5, Certain: true})
 	}
 	if status, st := abort(h); status != 200 || st.Status != wire.JobCancelled {
 		t.Errorf("left while it waits: %d %q", status, st.Status)
 	}
 }
 
+// TestCancellationBesideOlderVersions: nodes of the version before tell cancellations at
+// once. Until all nodes tell them late the new ones do as they do, or a poll would call a
+// job running that was called cancelled, as it did on days with an upgrade; the level
+// guards such a cancellation. What was told before stays told; of what can't be told from
+// the late change of a process that is gone neither is said.
+func TestCancellationBesideOlderVersions(t *testing.T) {
+	bound := []world.Task{{State: world.Bound, Attempt: 1, Machine: "vm-000001", Session: 1}}
+	old := world.JobRecord{Spec: spec(), Tasks: bound, CancelMs: 5}
+	poll := func(h http.Handler) (int, string) {
+		status, st := ask(h, http.MethodGet, "/v1/jobs/run-000001", nil)
+		return status, st.Status
+	}
+	o, h := setup(true)
+	o.put(world.JobKey("run-000001"), world.JobRecord{Spec: spec(), Tasks: bound})
+	status, st := ask(h, http.MethodPost, "/v1/jobs/run-000001/abort", nil)
+	if status != 200 || st.Status != wire.JobCancelled {
+		t.Fatalf("not all nodes tell late: %d %q", status, st.Status)
+	}
+	if g := o.done[0].Guards; !slices.Contains(g, wire.Guard{Key: world.LevelKey}) {
+		t.Errorf("the level does not guard it: %+v", g)
+	}
+	o.put(world.JobKey("run-000001"), old)
+	if status, st := poll(h); status != 200 || st != wire.JobCancelled {
+		t.Errorf("told by another node: %d %q", status, st)
+	}
+	o.put(world.LevelKey, world.LevelRecord{Level: tuning.LevelCertain}) // at the same stamp: after it
+	if status, st := poll(h); status != 200 || st != wire.JobCancelled {
+		t.Errorf("told before the level: %d %q", status, st)
+	}
+	o.world.Begin()
+	o.world.Put(world.JobKey("run-000001"), wire.MustEncode(old), 8)
+	o.world.Flush()
+	if status, st := poll(h); status != 503 {
+		t.Errorf("written after the level without its mark: %d %q", status, st)
+	}
+}
+
 // TestAwaits: what a submission awaits must have been accepted, by live or final
 // record after a barrier; unsure is 503, never 422. Before all nodes know of
 // awaited jobs none is accepted.
--- a/internal/place/silent.go
+++ b/internal/place/silent.go
@@ -96,11 +96,11 @@
 // tasks with its lease. Where cancellations are told at once it must go in time,
 // where they are told when they are certain, before the user gives up asking.
 func (r *round) late(m *world.Machine) bool {
-	limit := r.set.Cancel()
-	if r.world.Level < tuning.LevelCertain {
-		limit = time.Duration(tuning.CancelShare * float64(limit))
-	}
 	for _, b := range m.Bound {
+		limit := r.set.Cancel()
+		if !b.Job.Certain {
+			limit = time.Duration(tuning.CancelShare * float64(limit))
+		}
 		if b.Job.Cancelled() && r.now.Sub(time.UnixMilli(b.Job.CancelMs)) > limit {
 			return true
 		}
--- a/internal/standin/region.go
+++ b/internal/standin/region.go
@@ -352,13 +352,13 @@
 	r.Net.Cut(Cut{Inside: inside, Hold: hold, Until: until})
 }
 
-// Sessions gives the sessions of the machines of a zone.
-func (r *Region) Sessions(zone string) map[string]uint64 {
+// Sessions gives the sessions of the machines of some zones.
+func (r *Region) Sessions(zones ...string) map[string]uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	out := map[string]uint64{}
 	for name, w := range r.workers {
-		if w.zone == zone {
+		if slices.Contains(zones, w.zone) {
 			out[name] = w.session
 		}
 	}
--- a/internal/standin/region_test.go
+++ b/internal/standin/region_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"maps"
 	"math/rand/v2"
 	"os"
 	"strconv"
@@ -216,49 +215,58 @@
 	}
 }
 
+// survivors plays nine services on a region while something is cut off, and tells of how
+// many machines of the zones that are looked at how many are gone afterwards, and on how
+// many the tasks have ended. The first service's user cancels it after stop.
+func survivors(t *testing.T, seed uint64, stop time.Duration, zones []string, cut func(*Region)) (machines, gone, ended int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := NewRegion(ctx, testSettings(0), testTypes, 12, rand.New(rand.NewPCG(seed, 8)), slog.New(slog.NewTextHandler(io.Discard, nil)))
+	for i := range 3 {
+		r.Add(testSettings(i))
+	}
+	for i := range 9 {
+		spec := wire.Spec{ID: fmt.Sprintf("run-%06d", i+1), Class: "c", Team: "open", Kind: wire.KindService, Priority: wire.PriorityProduction,
+			Tasks: 6, CPUs: 4, GPUs: 1, MemoryGB: 20, Image: "img", ImageGB: 1, Spread: true}
+		after := 20 * time.Minute
+		if i == 0 {
+			after = stop
+		}
+		r.wg.Go(func() { r.User(ctx, spec, 5, after) })
+	}
+	time.Sleep(75 * time.Second)
+	before := r.Sessions(zones...)
+	cut(r)
+	time.Sleep(150 * time.Second)
+	after := r.Sessions(zones...)
+	for name, session := range before {
+		if now, ok := after[name]; !ok {
+			gone++
+		} else if now != session {
+			ended++
+		}
+	}
+	cancel()
+	r.Wait()
+	time.Sleep(3 * time.Minute)
+	if len(r.Oracle.Broken)+len(r.State.Broken) > 0 {
+		t.Errorf("broken: %v %v", r.Oracle.Broken, r.State.Broken)
+	}
+	return len(before), gone, ended
+}
+
 // TestZoneThatIsCutWorksOn: for longer than a lease and a cancellation's time a zone with
 // a controller is cut off from everything. No machine in it is deleted, no task in it
 // killed, though most belong to controllers outside; what its users cancel meanwhile is
 // told only once it has ended; and afterwards all goes on with the same sessions.
 func TestZoneThatIsCutWorksOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
-		r := NewRegion(ctx, testSettings(0), testTypes, 12, rand.New(rand.NewPCG(4, 8)), slog.New(slog.NewTextHandler(io.Discard, nil)))
-		for i := range 3 {
-			r.Add(testSettings(i))
-		}
-		for i := range 9 {
-			spec := wire.Spec{ID: fmt.Sprintf("run-%06d", i+1), Class: "c", Team: "open", Kind: wire.KindService, Priority: wire.PriorityProduction,
-				Tasks: 6, CPUs: 4, GPUs: 1, MemoryGB: 20, Image: "img", ImageGB: 1, Spread: true}
-			stop := 20 * time.Minute
-			if i == 0 {
-				stop = 100 * time.Second // within the cut
-			}
-			r.wg.Go(func() { r.User(ctx, spec, 5, stop) })
-		}
-		time.Sleep(75 * time.Second)
-		before := r.Sessions("west")
-		r.CutZone("west", true, time.Now().Add(100*time.Second))
-		time.Sleep(150 * time.Second)
-		after := r.Sessions("west")
-		gone, killed := 0, 0
-		for name, session := range before {
-			if now, ok := after[name]; !ok {
-				gone++
-			} else if now != session {
-				killed++
-			}
-		}
+		machines, gone, ended := survivors(t, 4, 100*time.Second, []string{"west"}, func(r *Region) {
+			r.CutZone("west", true, time.Now().Add(100*time.Second))
+		})
 		// Those that hold a task of the cancelled service are deleted for it; one or two
 		// stand idle and are returned.
-		if len(before) < 8 || gone > 4 || killed > 0 {
-			t.Errorf("of %d machines %d are gone, %d ended their tasks", len(before), gone, killed)
-		}
-		cancel()
-		r.Wait()
-		time.Sleep(3 * time.Minute)
-		if len(r.Oracle.Broken)+len(r.State.Broken) > 0 {
-			t.Errorf("broken: %v %v", r.Oracle.Broken, r.State.Broken)
+		if machines < 8 || gone > 4 || ended > 0 {
+			t.Errorf("of %d machines %d are gone, %d ended their tasks", machines, gone, ended)
 		}
 	})
 }
@@ -268,43 +276,11 @@
 // that has seen a higher token drops the answers of the old one and yet stays with it.
 func TestNodeCutFromStateKeepsNoWorkers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
-		r := NewRegion(ctx, testSettings(0), testTypes, 12, rand.New(rand.NewPCG(6, 8)), slog.New(slog.NewTextHandler(io.Discard, nil)))
-		for i := range 3 {
-			r.Add(testSettings(i))
-		}
-		for i := range 9 {
-			spec := wire.Spec{ID: fmt.Sprintf("run-%06d", i+1), Class: "c", Team: "open", Kind: wire.KindService, Priority: wire.PriorityProduction,
-				Tasks: 6, CPUs: 4, GPUs: 1, MemoryGB: 20, Image: "img", ImageGB: 1, Spread: true}
-			r.wg.Go(func() { r.User(ctx, spec, 5, 20*time.Minute) })
-		}
-		time.Sleep(75 * time.Second)
-		before := map[string]uint64{}
-		for _, z := range testZones {
-			maps.Copy(before, r.Sessions(z))
-		}
-		r.Net.Cut(Cut{From: "node-1", To: "state", Hold: true, Until: time.Now().Add(80 * time.Second)})
-		time.Sleep(120 * time.Second)
-		after := map[string]uint64{}
-		for _, z := range testZones {
-			maps.Copy(after, r.Sessions(z))
-		}
-		gone, killed := 0, 0
-		for name, session := range before {
-			if now, ok := after[name]; !ok {
-				gone++
-			} else if now != session {
-				killed++
-			}
-		}
-		if len(before) < 16 || gone > 3 || killed > 0 {
-			t.Errorf("of %d machines %d are gone, %d ended their tasks", len(before), gone, killed)
-		}
-		cancel()
-		r.Wait()
-		time.Sleep(3 * time.Minute)
-		if len(r.Oracle.Broken)+len(r.State.Broken) > 0 {
-			t.Errorf("broken: %v %v", r.Oracle.Broken, r.State.Broken)
+		machines, gone, ended := survivors(t, 6, 20*time.Minute, testZones, func(r *Region) {
+			r.Net.Cut(Cut{From: "node-1", To: "state", Hold: true, Until: time.Now().Add(80 * time.Second)})
+		})
+		if machines < 16 || gone > 3 || ended > 0 {
+			t.Errorf("of %d machines %d are gone, %d ended their tasks", machines, gone, ended)
 		}
 	})
 }
--- a/internal/world/layout.go
+++ b/internal/world/layout.go
@@ -227,6 +227,7 @@
 func BareSize(rec JobRecord) int {
 	// What is not there yet may come.
 	rec.CancelMs, rec.Yield, rec.Width, rec.Wide, rec.Tasks, rec.Groups = max(rec.AtMs, 1), tuning.MaxTasks, tuning.ChunkTasks, tuning.MaxTasks, nil, nil
+	rec.Certain = true
 	return wire.JSONSize(wire.MustEncode(rec))
 }
 
--- a/internal/world/records.go
+++ b/internal/world/records.go
@@ -112,6 +112,9 @@
 	Width  int     `cbor:"w,omitempty"`
 	Wide   int     `cbor:"v,omitempty"`
 	Groups []Group `cbor:"g,omitempty"`
+	// From LevelCertain on: the cancellation is told once no task is bound. Without it
+	// a cancelled job was, or may have been, told at once.
+	Certain bool `cbor:"c,omitempty"`
 }
 
 // ChunkRecord is a further chunk of tasks.
