Clean-up: a node's pulse apart from leases, a doubtful cancellation looked at once

Need: read once more as a whole. keeps() was called for its side effect alone, under the view's lock that it did not need; whether a cancellation is doubtful was found twice for each poll; order.Line.Has had no caller; a comment told of an earlier form.

Change: beats() notes the pulse and keeps() calls it; no behaviour changes, assertions stay. The tests of all packages and vet pass.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -98,10 +98,7 @@
 // time. A process that stood still believes nothing until its view is confirmed. Callers
 // hold both locks.
 func (f *Fleet) keeps(now, fresh time.Time) bool {
-	if !f.pulse.IsZero() && now.Sub(f.pulse) > tuning.FreezeGap {
-		f.thaw = now
-	}
-	f.pulse = now
+	f.beats(now)
 	if fresh.IsZero() || f.thaw.After(fresh) {
 		return false
 	}
@@ -274,7 +271,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-pulse.C:
-			f.beats()
+			f.mu.Lock()
+			f.beats(time.Now())
+			f.mu.Unlock()
 		case name := <-f.kicks:
 			if f.lanes.Acquire(ctx, 1) != nil {
 				return ctx.Err()
@@ -289,13 +288,13 @@
 	}
 }
 
-// beats notes that this process runs.
-func (f *Fleet) beats() {
-	f.world.RLock()
-	defer f.world.RUnlock()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.keeps(time.Now(), f.fresh())
+// beats notes that this process runs, and whether it stood still before. Callers hold
+// the fleet's lock.
+func (f *Fleet) beats(now time.Time) {
+	if !f.pulse.IsZero() && now.Sub(f.pulse) > tuning.FreezeGap {
+		f.thaw = now
+	}
+	f.pulse = now
 }
 
 // sweep forgets what no record and no report needs any more.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -136,7 +136,7 @@
 			}
 			time.Sleep(40 * time.Second) // nothing ran
 			if first == "pulse" {
-				k.beats()
+				k.beats(time.Now())
 			}
 			for seq := range uint64(3) {
 				if status, _ := k.report(own, 2+seq, 5); status == http.StatusOK {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -265,9 +265,9 @@
 	}
 	in.world.RLock()
 	if j := in.world.Jobs[id]; j != nil && j.Known {
-		st, undecided := in.live(id, j), in.world.Undecided(j) || in.doubtful(j)
+		st, undecided, doubtful := in.live(id, j), in.world.Undecided(j), in.doubtful(j)
 		in.world.RUnlock()
-		if undecided && (st.Status != wire.JobCancelled || in.doubtful(j)) {
+		if doubtful || undecided && st.Status != wire.JobCancelled {
 			return wire.Status{}, errUndecided
 		}
 		return st, nil
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -83,9 +83,6 @@
 // Len is how many wait.
 func (l *Line[T]) Len() int { return len(l.keys) }
 
-// Has tells whether a job is in line.
-func (l *Line[T]) Has(id string) bool { _, ok := l.keys[id]; return ok }
-
 // Each calls f for the jobs in line, in order, until it says no.
 func (l *Line[T]) Each(f func(Key, T) bool) {
 	l.tree.Scan(func(e entry[T]) bool { return f(e.key, e.item) })
--- a/internal/place/room.go
+++ b/internal/place/room.go
@@ -65,7 +65,7 @@
 	hinted  [2]time.Time         // when this node's images and the others' were taken into them
 	holding map[string][][]*node // machines with room that hold an image, by part, as asked for in this round
 	scrap   []*node              // the list that fitting gave last
-	bins    []*bin               // machines coming up, gathered when demand is counted
+	bins    []*bin               // machines coming up
 
 	least  world.Amount
 	failed []failure
