--- /dev/null
+++ b/cmd/regress/main.go
@@ -0,0 +1,72 @@
+// Command regress scores the sources as they stand on the operators' sites and
+// compares each day with the last figure on record. Exit status: 0 nothing fell, 1
+// a rule broken, a day that failed or a fall; 2 wrong use, or it could not be run.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"sableusher/internal/regress"
+)
+
+var errFell = errors.New("days failed or fell")
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := command().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "regress:", err)
+		if errors.Is(err, errFell) {
+			os.Exit(1)
+		}
+		os.Exit(2)
+	}
+}
+
+func command() *cobra.Command {
+	p := regress.Plan{Out: os.Stderr, Repo: "."}
+	cmd := &cobra.Command{
+		Use:           "regress",
+		Short:         "Score the operators' sites and compare each day with the last figure on record.",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if p.Bench == "" {
+				p.Bench = filepath.Join(p.Given, "kit", "more", "fleet", "bin", "fleetbench")
+			}
+			rows, err := p.Run(cmd.Context())
+			if perr := regress.Print(cmd.OutOrStdout(), rows); err == nil {
+				err = perr
+			}
+			if err != nil {
+				return err
+			}
+			bad := 0
+			for _, r := range rows {
+				if r.Bad() {
+					bad++
+				}
+			}
+			if bad > 0 {
+				return fmt.Errorf("%w: %d of %d", errFell, bad, len(rows))
+			}
+			return nil
+		},
+	}
+	f := cmd.Flags()
+	f.StringVar(&p.Bench, "bench", "", "the bench's program; the one under --given where it is left out")
+	f.StringVar(&p.Given, "given", filepath.Join("..", "given"), "the folder that holds the operators' kit")
+	f.BoolVar(&p.Fleet, "fleet", false, "score the sites of the larger fleet too")
+	f.BoolVar(&p.Full, "full", false, "score all sites in full, with a hunt on each")
+	f.StringVar(&p.Why, "why", "regression run", "what the run is for, for the journal (under 120 characters)")
+	return cmd
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -342,6 +342,18 @@
 	ReturnMax = 100
 )
 
+// Regression runs.
+const (
+	// RegressFall is the largest difference of a day's figure, in points, that
+	// counts as noise.
+	RegressFall = 0.03
+	// RegressHunt is how many days a full run hunts for broken rules on each site.
+	RegressHunt = 4
+)
+
+// RegressSeeds are the further seeds on which a fall is repeated.
+var RegressSeeds = [...]uint64{1, 2}
+
 // Process.
 const (
 	// MemoryShare of the memory limit is given to Go's heap limit; the rest is stacks, code and the C library.
