--- a/cmd/regress/main.go
+++ b/cmd/regress/main.go
@@ -33,6 +33,7 @@
 
 func command() *cobra.Command {
 	p := regress.Plan{Out: os.Stderr, Repo: "."}
+	recorded := false
 	cmd := &cobra.Command{
 		Use:           "regress",
 		Short:         "Score the operators' sites and compare each day with the last figure on record.",
@@ -43,7 +44,11 @@
 			if p.Bench == "" {
 				p.Bench = filepath.Join(p.Given, "kit", "more", "fleet", "bin", "fleetbench")
 			}
-			rows, err := p.Run(cmd.Context())
+			play := p.Run
+			if recorded {
+				play = func(context.Context) ([]regress.Row, error) { return p.Recorded() }
+			}
+			rows, err := play(cmd.Context())
 			if perr := regress.Print(cmd.OutOrStdout(), rows); err == nil {
 				err = perr
 			}
@@ -67,6 +72,7 @@
 	f.StringVar(&p.Given, "given", filepath.Join("..", "given"), "the folder that holds the operators' kit")
 	f.BoolVar(&p.Fleet, "fleet", false, "score the sites of the larger fleet too")
 	f.BoolVar(&p.Full, "full", false, "score all sites in full, with a hunt on each")
+	f.BoolVar(&recorded, "recorded", false, "play nothing: compare the last score of each site in the journal with those before it")
 	f.StringVar(&p.Why, "why", "regression run", "what the run is for, for the journal (under 120 characters)")
 	return cmd
 }
--- a/internal/regress/bench.go
+++ b/internal/regress/bench.go
@@ -42,6 +42,17 @@
 	return out
 }
 
+// Recorded compares the last score of each site in the journal with those before it,
+// and plays nothing.
+func (p *Plan) Recorded() ([]Row, error) {
+	entries, err := p.journal(p.Repo)
+	if err != nil {
+		return nil, err
+	}
+	record, now := Newest(entries)
+	return Compare(record, now, tuning.RegressFall), nil
+}
+
 // Run scores the sites one at a time, repeats what fell on further seeds, and
 // gives the comparison. An error means that it could not be carried out; rows that
 // are bad are no error.
--- a/internal/regress/entry.go
+++ b/internal/regress/entry.go
@@ -146,7 +146,24 @@
 	return out
 }
 
-// site is a site file's name as the journal has it.
-func site(file string) string { return strings.TrimSuffix(path.Base(file), path.Ext(file)) }
+// Newest gives the last score of each site, and the record as it was before it. Scores
+// that were cut off have neither site nor days and don't count.
+func Newest(entries []Entry) (Record, []Entry) {
+	last := map[string]int{}
+	for i, e := range entries {
+		if e.Cmd == "score" && e.plain() {
+			last[e.Site] = i
+		}
+	}
+	var before, now []Entry
+	for i, e := range entries {
+		if at, ok := last[e.Site]; ok && at == i {
+			now = append(now, e)
+		} else {
+			before = append(before, e)
+		}
+	}
+	return Last(before), now
+}
 
 func figure(f float64) string { return strconv.FormatFloat(f, 'f', 3, 64) }
--- a/internal/regress/regress_test.go
+++ b/internal/regress/regress_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/fstest"
@@ -114,6 +115,35 @@
 	}
 }
 
+// TestNewestAgainstThoseBefore: each site's last score is held against the record before
+// it, however the sites' scores lie between each other; one that was cut off is passed over.
+func TestNewestAgainstThoseBefore(t *testing.T) {
+	entries := scores(recorded(t))
+	var history []Entry
+	for i := range 3 {
+		for _, e := range entries {
+			e.ID = e.ID + strconv.Itoa(i)
+			e.Days = slices.Clone(e.Days)
+			for k := range e.Days {
+				e.Days[k].Figure -= 0.04 * float64(i)
+			}
+			history = append(history, e)
+		}
+	}
+	history = append(history, Entry{Cmd: "score", Err: "cut off"})
+	record, now := Newest(history)
+	rows := Compare(record, now, tuning.RegressFall)
+	fell := 0
+	for _, r := range rows {
+		if r.Verdict == Fell && math.Abs(r.Before-r.Now-0.04) < 1e-9 {
+			fell++
+		}
+	}
+	if len(now) != len(entries) || fell != 4 {
+		t.Errorf("%d scores, %d fell: %+v", len(now), fell, rows)
+	}
+}
+
 // TestRecord: only whole scores count, the last one wins, and a bench that gave no
 // figures is never taken for one without a fall.
 func TestRecord(t *testing.T) {
