Place divided: fitting, preemption and settling as packages of their own

Need: place was the largest package, one engine with the queue, the room, the fates of tasks and who is stopped for whom in one; drains, repeats and a solver are to fit in without touching the others.

Change, without a change of behaviour: fit keeps the machines' room and chooses in it, preempt decides who makes room and at what cost, settle decides what becomes of a bound task. They act on nothing; place carries out. Writing of records moved to changes.go, gangs to gang.go.

--- a/internal/place/doc.go
+++ b/internal/place/doc.go
@@ -8,9 +8,11 @@
 // (4). It never speaks to workers or the cloud: package fleet orders what it sees
 // bound, package pool returns what is given up.
 //
-// Files by duty: engine (rounds and changes on their way), place (who gets room),
-// room (machines and what they have free), value (learner), settle (tasks that ended),
-// silent (machines given up), downstream (jobs that fall with others), moves (old records
-// split). The order of what waits is package order's, the judgement of silence package
-// silence's.
+// What is decided stands in packages of their own, which act on nothing: order (of what
+// waits), fit (room on machines), preempt (who makes room for whom), settle (what becomes of
+// a bound task), silence (which machines are given up). Files here by duty: engine (rounds
+// and changes on their way), place and gang (who gets room), room (the machines as fit is
+// told of them), preempt and settle (carrying out), changes (records and their guards),
+// value (learner), silent (machines given up), downstream (jobs that fall with others),
+// moves (old records split).
 package place
--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"sableusher/internal/config"
+	"sableusher/internal/fit"
 	"sableusher/internal/fleet"
 	"sableusher/internal/learn"
 	"sableusher/internal/member"
@@ -59,7 +60,7 @@
 	news      *world.News
 	line      *order.Line[*world.Job]
 	queued    []due // of the round before, its memory used again
-	room      *stock
+	room      *fit.Stock
 	stale     map[string]struct{} // machines whose workers told something that the stock has not taken in
 	demand    Demand
 	values    values
--- /dev/null
+++ b/internal/place/gang.go
@@ -0,0 +1,83 @@
+package place
+
+import (
+	"slices"
+
+	"sableusher/internal/fit"
+	"sableusher/internal/tuning"
+	"sableusher/internal/world"
+)
+
+// placeGang gives a gang room for all its tasks or none. One node does so for
+// each gang, over the machines of all parts, in one transaction: the owner of
+// the part that the gang is dealt to, whose grant it uses. The owners of its
+// machines start the tasks as they see them bound. Where an owner has used the
+// room meanwhile, its worker refuses and the gang is placed anew.
+func (r *round) placeGang(du *due, s *fit.Stock) {
+	j, spec := du.job, &du.job.Spec
+	var attempt uint64
+	var idle []int
+	forming := false
+	for i := range spec.Tasks {
+		t := r.task(j, i)
+		attempt = max(attempt, t.Attempt)
+		if t.State == world.Idle {
+			idle = append(idle, i)
+		} else {
+			forming = true
+		}
+	}
+	du.Left = len(idle)
+	if r.busy[world.JobKey(spec.ID)] || r.outgrown(j) || forming && slices.ContainsFunc(idle, func(i int) bool { return r.task(j, i).Attempt >= attempt }) {
+		r.waiting(j, "its last attempt has not left yet, or a change is on its way", nil)
+		du.Left = 0
+		return
+	}
+	if !forming { // else one too long for a transaction is completed
+		attempt++
+	}
+	// One that finds its image at once goes first, then one that has room in its
+	// own part, where no other node places.
+	du.home = r.first(j)
+	z := r.zones(j, 0)
+	up := s.Fitting(&du.Ask)
+	inPart := func(n *fit.Node) bool { return n.M.Part == du.home }
+	held := func(n *fit.Node) bool { return r.stock.Holds(spec.Image, n) }
+	var picks []*fit.Node
+	for _, also := range []func(*fit.Node) bool{
+		func(n *fit.Node) bool { return inPart(n) && held(n) },
+		func(n *fit.Node) bool { return n.Certain() && held(n) },
+		inPart, (*fit.Node).Certain,
+	} {
+		if picks = s.ChooseWhole(&du.Ask, up, z, also); picks != nil {
+			break
+		}
+	}
+	if picks == nil {
+		r.waiting(j, "no room for all its tasks", nil)
+		return
+	}
+	du.Left = 0
+	_, mine := r.tokens[du.home]
+	if !mine || r.bound+len(picks) > tuning.RoundTasks && r.bound > 0 {
+		return
+	}
+	// All or nothing: the grant must cover it whole, and its records must hold it.
+	adds := map[int]int{} // tasks by record
+	for _, i := range idle {
+		adds[j.RecordOf(i)]++
+	}
+	for k, n := range adds {
+		if r.full(j, k, n, picks[0].M.Name) {
+			r.waiting(j, "its records are full", nil)
+			return
+		}
+	}
+	if !r.quota.Allowed(du.home, spec.Team, r.use(du.home, spec.Team).Plus(du.Need, float64(len(picks)))) {
+		r.waiting(j, "its team's grant in this part", nil)
+		return
+	}
+	for x, n := range picks {
+		r.bind(du, idle[x], attempt, n, du.home)
+	}
+}
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -140,8 +140,8 @@
 	if len(bound) != 0 {
 		t.Fatalf("%d tasks bound without room", len(bound))
 	}
-	if r.stock.looks > 2*machines {
-		t.Errorf("%d machines examined for %d jobs on %d machines", r.stock.looks, jobs, machines)
+	if r.stock.Looks() > 2*machines {
+		t.Errorf("%d machines examined for %d jobs on %d machines", r.stock.Looks(), jobs, machines)
 	}
 	if n := len(r.demand.Groups); n != jobs {
 		t.Errorf("demand names %d of %d jobs", n, jobs)
--- a/internal/place/settle.go
+++ b/internal/place/settle.go
@@ -6,150 +6,13 @@
 	"time"
 
 	"sableusher/internal/fleet"
+	"sableusher/internal/settle"
 	"sableusher/internal/store"
 	"sableusher/internal/tuning"
 	"sableusher/internal/wire"
 	"sableusher/internal/world"
 )
 
-// round is one look at the view; it collects the changes to make.
-type round struct {
-	*Engine
-	now     time.Time
-	tokens  map[int]uint64
-	stamps  map[int]uint64
-	edits   map[editKey]*edit
-	out     []*change
-	moveM   map[string]world.Amount // on their way, by machine
-	moveP   map[int]map[string]world.Amount
-	moveJ   map[string]int // tasks on their way, by job
-	live    []bool         // parts whose owner lives
-	bound   int
-	stock   *stock
-	pressed bool              // the state service's budget is the bottleneck
-	stops   int               // machines on which room is being freed in this round
-	counts  bool              // this round counts the demand for the pool
-	blocked bool              // a task's end could not be written yet
-	gangs   map[gangKey]bool  // whether an attempt is broken, looked at once a round
-	pulls   map[string]pulled // what jobs that need others ask of them
-}
-
-// editKey names one record of a job.
-type editKey struct {
-	job *world.Job
-	k   int
-}
-
-// gangKey names one attempt of a gang.
-type gangKey struct {
-	job     *world.Job
-	attempt uint64
-}
-
-// edit gathers the changes of one record of a job.
-type edit struct {
-	job   *world.Job
-	k     int
-	tasks map[int]world.Task
-	parts map[int]bool
-	binds []bind
-	size  int // what the record takes, as JSON; 0: not measured yet
-}
-
-func (e *Engine) newRound(now time.Time) *round {
-	r := &round{Engine: e, now: now, tokens: map[int]uint64{}, stamps: map[int]uint64{}, edits: map[editKey]*edit{}, gangs: map[gangKey]bool{},
-		moveM: map[string]world.Amount{}, moveP: map[int]map[string]world.Amount{}, moveJ: map[string]int{},
-		live: make([]bool, e.world.Size)}
-	for p := range e.world.Size {
-		_, r.live[p] = e.member.OwnerOf(p)
-		r.moveP[p] = map[string]world.Amount{}
-		if token, stamp, ok := e.member.Owns(p); ok {
-			r.tokens[p], r.stamps[p] = token, stamp
-			if _, had := e.owned[p]; !had {
-				e.owned[p] = now
-				// A new owner hears of its machines at once rather than at their next report.
-				for _, m := range e.world.ByPart[p] {
-					e.fleet.Kick(m.Name)
-				}
-			}
-		} else if _, entitled := e.member.Entitled(p); !entitled {
-			delete(e.owned, p)
-		}
-	}
-	for _, c := range e.moving {
-		for _, b := range c.binds {
-			r.move(b)
-		}
-	}
-	return r
-}
-
-func (r *round) move(b bind) {
-	r.moveM[b.machine] = r.moveM[b.machine].Plus(b.need, 1)
-	r.moveP[b.part][b.team] = r.moveP[b.part][b.team].Plus(b.need, 1)
-	r.moveJ[b.ref.Job]++
-}
-
-// use is what a team's tasks of a part take, those on their way included.
-func (r *round) use(part int, team string) world.Amount {
-	return r.world.Usage[part][team].Plus(r.moveP[part][team], 1)
-}
-
-// edit opens the record that holds a task; nil while a change of it is on its
-// way, or while it has to be moved first.
-func (r *round) edit(j *world.Job, task int) *edit {
-	k := j.RecordOf(task)
-	if _, ok := r.refused[j.Key(k)]; ok || r.busy[j.Key(k)] || k > 0 && r.busy[j.Key(0)] && j.Spec.OneZone || r.outgrown(j) {
-		return nil
-	}
-	ed := r.edits[editKey{j, k}]
-	if ed == nil {
-		ed = &edit{job: j, k: k, tasks: map[int]world.Task{}, parts: map[int]bool{}}
-		r.edits[editKey{j, k}] = ed
-	}
-	return ed
-}
-
-// outgrown tells whether a job's records have to be moved before they are written
-// again, and asks for it.
-func (r *round) outgrown(j *world.Job) bool {
-	if r.world.Level < tuning.LevelPipelines || !j.Outgrows(r.world.Fit(r.commit.Room())) {
-		return false
-	}
-	r.moves[j.Spec.ID] = true
-	return true
-}
-
-// bindBytes is the most that binding a task to a machine adds to its record, as JSON.
-func bindBytes(machine string) int { return len(machine) + tuning.TaskBytes/2 }
-
-// full tells whether a record has no room for so many more bound tasks. Without
-// the check a state service with a small limit would refuse the record over and over.
-func (r *round) full(j *world.Job, k, more int, machine string) bool {
-	room := r.commit.Room()
-	if r.world.Fit(room).Holds(&j.Spec, j.Bare) {
-		return false
-	}
-	ed := r.edits[editKey{j, k}]
-	if ed == nil {
-		ed = &edit{} // nothing of it has changed in this round
-	}
-	if ed.size == 0 {
-		ed.size = j.Size(k, ed.tasks)
-	}
-	return ed.size+more*bindBytes(machine) > room
-}
-
-// task is a task's state with this round's changes.
-func (r *round) task(j *world.Job, i int) world.Task {
-	if ed := r.edits[editKey{j, j.RecordOf(i)}]; ed != nil {
-		if t, ok := ed.tasks[i]; ok {
-			return t
-		}
-	}
-	return j.Task(i)
-}
-
 // release ends a binding in the record.
 func (r *round) release(b world.Binding, machine string, state int, why string) {
 	r.blocked = true
@@ -225,81 +88,52 @@
 	r.finishJobs()
 }
 
+// settleTask carries out what is to become of one bound task.
 func (r *round) settleTask(b world.Binding, name string, token uint64) {
-	t := r.fleet.Fate(b, name, token)
 	spec := &b.Job.Spec
-	switch t.Fate {
-	case fleet.Lost:
-		r.release(b, name, world.Idle, "session ended")
-	case fleet.Absent:
-		if r.fleet.Stopping(b) {
-			r.release(b, name, world.Idle, "never started")
-		} else {
-			r.fleet.Kick(name)
-		}
-	case fleet.Alive:
-		if t.State != wire.TaskFetching {
-			r.noteImage(name, spec)
-		}
-		r.alive(b, t)
-	case fleet.Exited:
-		r.exited(b, name, t)
-		return
+	t := settle.Task{Task: r.fleet.Fate(b, name, token), Kind: spec.Kind, Cancelled: b.Job.Cancelled(), Stopping: r.fleet.Stopping(b)}
+	d := settle.Decide(t)
+	if d.Kick {
+		r.fleet.Kick(name)
 	}
-	if spec.Kind == wire.KindGang && b.Job.Yield == b.Attempt && t.Fate != fleet.Lost {
-		r.fleet.Stop(b, name, graced(spec))
-	}
-	if t.Fate != fleet.Lost && spec.Kind == wire.KindGang && !r.fleet.Stopping(b) && r.broken(b) {
-		r.fleet.Stop(b, name, 0)
-	}
-}
-
-// noteImage notes that a machine has used a job's image.
-func (r *round) noteImage(name string, spec *wire.Spec) {
-	if m := r.world.Machines[name]; m != nil {
+	if m := r.world.Machines[name]; d.Image && m != nil {
 		r.fleet.NoteImage(name, spec.Image, spec.ImageGB, r.world.Types[m.Type].CacheGB)
 	}
-}
-
-func (r *round) exited(b world.Binding, name string, t fleet.Task) {
-	spec := &b.Job.Spec
-	switch t.Cause {
-	case wire.CauseDone:
-		r.noteImage(name, spec)
-		if spec.Kind == wire.KindService {
-			r.fail(spec.ID, r.now)
-			r.release(b, name, world.Idle, "service ended")
-			return
-		}
-		if b.Job.Cancelled() {
-			r.release(b, name, world.Idle, "done after its cancellation")
-			return
-		}
-		if spec.Kind != wire.KindGang {
-			r.release(b, name, world.Done, "done")
-			return
-		}
-		// A gang completes together: one done task tells it of all.
-		for i := range spec.Tasks {
-			if o := r.task(b.Job, i); o.State == world.Bound && o.Attempt == b.Attempt {
-				r.release(world.Binding{Ref: world.TaskRef{Job: spec.ID, Index: i}, Job: b.Job, Attempt: o.Attempt, Session: o.Session}, o.Machine, world.Done, "done with its gang")
-			}
-		}
-		return
-	case wire.CauseError:
+	if d.Failure {
 		r.fleet.NoteError(name, spec.ID)
 		r.stale[name] = struct{}{}
-		r.fail(spec.ID, r.now)
-	case wire.CauseNoRoom, wire.CauseBusy:
+	}
+	if d.Refused {
 		r.fleet.NoteRefused(name)
 		r.stale[name] = struct{}{}
-	case wire.CauseUnknown:
+	}
+	if d.Pause {
 		r.fail(spec.ID, r.now)
 	}
-	if t.Cause != wire.CauseStopped || !t.Saved {
+	if t.Fate == fleet.Exited && t.Cause != wire.CauseDone && (t.Cause != wire.CauseStopped || !t.Saved) {
 		r.log.Debug("task ended without being done", "task", b.Ref, "cause", t.Cause, "machine", name)
 	}
-	r.release(b, name, world.Idle, t.Cause)
+	switch {
+	case d.Gang:
+		for i := range spec.Tasks {
+			if o := r.task(b.Job, i); o.State == world.Bound && o.Attempt == b.Attempt {
+				r.release(world.Binding{Ref: world.TaskRef{Job: spec.ID, Index: i}, Job: b.Job, Attempt: o.Attempt, Session: o.Session}, o.Machine, d.State, "done with its gang")
+			}
+		}
+	case d.Release:
+		r.release(b, name, d.State, d.Why)
+	case t.Fate == fleet.Alive:
+		r.alive(b, t.Task)
+	}
+	if spec.Kind != wire.KindGang || t.Fate == fleet.Exited || t.Fate == fleet.Lost {
+		return
+	}
+	if b.Job.Yield == b.Attempt {
+		r.fleet.Stop(b, name, graced(spec))
+	}
+	if !r.fleet.Stopping(b) && r.broken(b) {
+		r.fleet.Stop(b, name, 0)
+	}
 }
 
 // broken tells whether a gang's attempt can no longer run whole: a task of it
@@ -316,21 +150,10 @@
 
 func (r *round) lookBroken(b world.Binding) bool {
 	j := b.Job
-	whole := true
-	for i := range j.Spec.Tasks {
-		t := r.task(j, i)
-		if t.State == world.Done {
-			return false
-		}
-		if t.State == world.Bound && t.Attempt == b.Attempt {
-			continue
-		}
-		whole = false
-		if t.Attempt >= b.Attempt {
-			return true
-		}
-	}
-	if whole {
+	switch settle.Attempt(j.Spec.Tasks, func(i int) world.Task { return r.task(j, i) }, b.Attempt) {
+	case settle.Broken:
+		return true
+	case settle.Whole:
 		delete(r.forming, j.Spec.ID)
 		return false
 	}
@@ -342,28 +165,6 @@
 	return r.now.Sub(since) > tuning.GangForm+time.Duration(j.Spec.Tasks)*tuning.GangFormTask
 }
 
-// final gives the ops that turn a job's records into its final one.
-func (r *round) final(j *world.Job, status string, done int) []wire.Op {
-	id := j.Spec.ID
-	ops := []wire.Op{
-		store.Set(world.FinalKey(id), world.FinalRecord{Status: status, Tasks: j.Spec.Tasks, Done: done, AtMs: r.now.UnixMilli()}),
-		store.Drop(world.JobKey(id)),
-	}
-	return append(ops, r.drops(j, len(ops))...)
-}
-
-// drops removes as many of a job's further records as a transaction with so many
-// changes has room for; what stays is swept later.
-func (r *round) drops(j *world.Job, has int) []wire.Op {
-	var ops []wire.Op
-	for _, key := range j.Further() {
-		if has+len(ops) < r.commit.TxnOps() {
-			ops = append(ops, store.Drop(key))
-		}
-	}
-	return ops
-}
-
 // finishJobs ends jobs whose tasks are all done, or that are cancelled and have
 // left every machine, where no change of a single record could end them. Only
 // the leader does so; it also sweeps chunks left by long jobs.
@@ -393,95 +194,6 @@
 	}
 }
 
-// flush turns the edits into changes.
-func (r *round) flush() {
-	byJob := map[string][]*edit{}
-	for _, ed := range r.edits {
-		if len(ed.tasks) > 0 {
-			byJob[ed.job.Spec.ID] = append(byJob[ed.job.Spec.ID], ed)
-		}
-	}
-	for id, eds := range byJob {
-		j := eds[0].job
-		if j.Spec.Kind == wire.KindGang && len(eds) > 1 && len(eds) <= r.together(j) {
-			// A gang's tasks are bound together. One too long for a transaction is
-			// bound record by record and withdrawn if it does not become whole.
-			r.emit(id, j, eds)
-			continue
-		}
-		for _, ed := range eds {
-			r.emit(id, j, []*edit{ed})
-		}
-	}
-}
-
-// together is how many records of a job one transaction may write, with the job's
-// own beside them.
-func (r *round) together(j *world.Job) int {
-	if j.Width == 0 {
-		return min(tuning.GangRecords, r.commit.TxnOps()-1)
-	}
-	return min(tuning.TxnBytes/max(r.commit.Room(), 1), r.commit.TxnOps()-1)
-}
-
-func (r *round) emit(id string, j *world.Job, eds []*edit) {
-	c := &change{what: "tasks of " + id}
-	parts, done, bound, touched := map[int]bool{}, j.Done, j.Bound, false
-	guards := map[string]uint64{}
-	for _, ed := range eds {
-		for i, t := range ed.tasks {
-			switch old := j.Task(i); old.State {
-			case world.Bound:
-				bound--
-			case world.Done:
-				done--
-			}
-			switch t.State {
-			case world.Bound:
-				bound++
-			case world.Done:
-				done++
-			}
-		}
-		maps.Copy(parts, ed.parts)
-		for _, g := range j.ChunkGuards(ed.k) {
-			guards[g.Key] = g.Stamp
-		}
-		op := j.Encode(ed.k, ed.tasks)
-		c.item.Ops = append(c.item.Ops, op)
-		c.keys = append(c.keys, op.Set)
-		c.binds = append(c.binds, ed.binds...)
-		touched = touched || ed.k == 0
-	}
-	single := len(j.Further()) == 0 && j.Records() == 1
-	switch {
-	case single && done == j.Spec.Tasks:
-		c.item.Ops = r.final(j, wire.JobDone, done)
-	case single && j.Cancelled() && bound == 0:
-		c.item.Ops = r.final(j, wire.JobCancelled, done)
-	case !single && j.Spec.OneZone && !touched && len(c.binds) > 0:
-		// Bindings of different records must not choose different zones at once.
-		op := j.Encode(0, nil)
-		c.item.Ops = append(c.item.Ops, op)
-		c.keys = append(c.keys, op.Set)
-	}
-	for _, p := range slices.Sorted(maps.Keys(parts)) {
-		if stamp, mine := r.stamps[p]; mine {
-			c.parts = append(c.parts, p)
-			guards[world.PartKey(p)] = stamp
-		} else {
-			// A gang's machine in another node's part, while that node owns it.
-			guards[world.PartKey(p)] = r.world.Parts[p].Stamp
-		}
-	}
-	for _, k := range slices.Sorted(maps.Keys(guards)) {
-		c.item.Guards = append(c.item.Guards, wire.Guard{Key: k, Stamp: guards[k]})
-	}
-	c.item.Urgent = j.Spec.Priority == wire.PriorityProduction
-	c.item.Soon = r.rank(j) <= wire.Rank(wire.PriorityHigh)
-	r.out = append(r.out, c)
-}
-
 // adopt records machines that reported and whose records are missing or behind.
 func (r *round) adopt() {
 	for name, rep := range r.fleet.Adoptions() {
@@ -519,17 +231,6 @@
 	}
 }
 
-func (r *round) writeMachine(what, name string, part int, rec world.MachineRecord, stamp uint64) {
-	key := world.MachineKey(name)
-	r.out = append(r.out, &change{
-		what: what, keys: []string{key}, parts: []int{part}, late: true,
-		item: store.Item{
-			Guards: []wire.Guard{{Key: world.PartKey(part), Stamp: r.stamps[part]}, {Key: key, Stamp: stamp}},
-			Ops:    []wire.Op{store.Set(key, rec)},
-		},
-	})
-}
-
 // evacuate stops what gains by it on a machine that the cloud takes away: tasks
 // that can save do so, services start again elsewhere at once. What can't save
 // may still end in time, and a gang of several tasks must be stopped as a whole.
--- a/internal/place/value.go
+++ b/internal/place/value.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"sableusher/internal/config"
+	"sableusher/internal/fit"
 	"sableusher/internal/fleet"
 	"sableusher/internal/learn"
 	"sableusher/internal/store"
@@ -100,7 +101,7 @@
 		if m := r.world.Machines[machine]; m != nil {
 			if typ, ok := r.world.Types[m.Type]; ok {
 				c := world.Capacity(&typ)
-				r.values.finished += run * (1 - share(c.Plus(world.Need(spec), -1), c))
+				r.values.finished += run * (1 - fit.Share(c.Plus(world.Need(spec), -1), c))
 			}
 		}
 		if b.Attempt == 1 { // a later attempt may have resumed saved work
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"sableusher/internal/config"
+	"sableusher/internal/fit"
 	"sableusher/internal/place"
 	"sableusher/internal/tuning"
 	"sableusher/internal/wire"
@@ -78,7 +79,7 @@
 	p.refused[kind{"m", "west", false}] = time.Now().Add(tuning.RefusedHold)
 	s := &wire.Spec{ID: "run-1", Kind: wire.KindGang, Priority: wire.PriorityHigh, Tasks: 8, CPUs: 28, GPUs: 4, MemoryGB: 200, OneZone: true}
 	n := 0
-	for _, b := range p.bins(place.Demand{Groups: []place.Group{{Spec: s, Count: 2, Zone: "west", Since: time.Now()}}, Spare: place.Spare{Room: 9, Whole: 9}, Spot: place.Spare{Room: 9}}) {
+	for _, b := range p.bins(place.Demand{Groups: []place.Group{{Spec: s, Count: 2, Zone: "west", Since: time.Now()}}, Spare: fit.Spare{Room: 9, Whole: 9}, Spot: fit.Spare{Room: 9}}) {
 		if b.zone != "east" {
 			t.Errorf("a machine in %s", b.zone)
 		}
