Pool: a gang that no zone has room for is collected in one of them

Change: a kind that gave fewer machines than were asked for counts as short for a minute. While every zone is short, only the rest of a gang is asked for, in the zone with most of its room. The test fails with the way before.

--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-
 	"sableusher/internal/fit"
 	"sableusher/internal/preempt"
 	"sableusher/internal/tuning"
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -36,11 +36,12 @@
 	commit *store.Committer
 	log    *slog.Logger
 
-	mu      sync.Mutex // guards serial and refused, as rentals are asked for at once
+	mu      sync.Mutex // guards serial, refused and short, as rentals are asked for at once
 	serial  int
-	refused map[kind]time.Time
-	rented  time.Time // when machines were last rented
-	cut     []string  // zones that are cut off: what is rented there could not report
+	refused map[kind]time.Time // until when a kind is not asked for
+	short   map[kind]time.Time // until when a kind is believed to have less than a gang needs
+	rented  time.Time          // when machines were last rented
+	cut     []string           // zones that are cut off: what is rented there could not report
 	idle    map[string]time.Time
 	unknown map[string]time.Time
 	listed  time.Time
@@ -68,7 +69,7 @@
 // New makes a pool.
 func New(set *config.Settings, op *config.Operator, w *world.World, m *member.Member, e *place.Engine, c *Cloud, commit *store.Committer, log *slog.Logger) *Pool {
 	return &Pool{set: set, op: op, world: w, member: m, engine: e, cloud: c, commit: commit, log: log,
-		refused: map[kind]time.Time{}, idle: map[string]time.Time{}, unknown: map[string]time.Time{}, arrived: map[string]arrival{}}
+		refused: map[kind]time.Time{}, short: map[kind]time.Time{}, idle: map[string]time.Time{}, unknown: map[string]time.Time{}, arrived: map[string]arrival{}}
 }
 
 // Run keeps the fleet until ctx ends.
@@ -268,7 +269,7 @@
 	var out []bin
 	rank := wire.Ranks
 	late := false // the work at hand has waited so long that its room is no choice any more
-	open := func(s *wire.Spec, zone string, also func(string) bool) *bin {
+	open := func(s *wire.Spec, zone string, also func(kind) bool) *bin {
 		k, ok := p.choose(s, zone, held, now, also)
 		if !ok {
 			return nil
@@ -282,29 +283,25 @@
 		s, need := g.Spec, world.Need(g.Spec)
 		late, rank = now.Sub(g.Since) > tuning.StarveAfter, g.Rank
 		zone, count := s.Zone, g.Count
-		if zone == "" && s.OneZone && g.Zone != "" {
-			// The rest of a gang has its room there; refused there, it needs all of
-			// its room elsewhere.
-			if _, ok := p.choose(s, g.Zone, held, now, anyZone); ok {
-				zone = g.Zone
-			} else {
-				count = s.Tasks
+		perZone := map[string]int{}
+		also := func(k kind) bool { return !s.Spread || perZone[k.zone] < (count+1)/2 }
+		if zone == "" && s.OneZone {
+			if zone, count = p.collect(g, held, now); count == 0 {
+				continue
 			}
 		}
-		perZone := map[string]int{}
-		spreadOK := func(z string) bool { return !s.Spread || perZone[z] < (count+1)/2 }
 		at := 0 // the tasks of a group are alike: what does not fit one fits none of them
 		for range count {
 			var b *bin
 			for ; at < len(out); at++ {
 				if o := &out[at]; need.Within(o.free) && (zone == "" || o.zone == zone) && (s.Spot || !o.spot) &&
-					(len(s.Types) == 0 || slices.Contains(s.Types, o.typ)) && spreadOK(o.zone) {
+					(len(s.Types) == 0 || slices.Contains(s.Types, o.typ)) && also(o.kind) {
 					b = o
 					break
 				}
 			}
 			if b == nil {
-				b = open(s, zone, spreadOK)
+				b = open(s, zone, also)
 			}
 			if b == nil {
 				break
@@ -321,21 +318,46 @@
 	short := p.op.PoolMin - total - len(out)
 	spare := max(short, int(math.Ceil(step.room-d.Spare.Room-0.5)), int(math.Ceil(step.whole-float64(d.Spare.Whole)-0.5)))
 	for i := range spare {
-		b := open(&wire.Spec{}, "", anyZone)
+		b := open(&wire.Spec{}, "", anyKind)
 		if b == nil {
 			break
 		}
 		b.must = i < short
 	}
 	for range int(math.Ceil(step.spot - d.Spot.Room - 0.5)) {
-		if open(&wire.Spec{Spot: true}, "", anyZone) == nil {
+		if open(&wire.Spec{Spot: true}, "", anyKind) == nil {
 			break
 		}
 	}
 	return out
 }
 
-func anyZone(string) bool { return true }
+func anyKind(kind) bool { return true }
+
+// collect chooses the zone in which room for a gang that must be together is rented, and
+// for how many of its tasks: the rest where some of its room is; all of it elsewhere
+// while that zone refuses, if another is not known to have less than the whole. It is
+// none if every zone is short: asking one after the other would get a machine here and
+// one there, return each as idle, and never make up a gang.
+func (p *Pool) collect(g place.Group, held map[string]int, now time.Time) (zone string, count int) {
+	ample := func(k kind) bool { return !now.Before(p.short[k]) }
+	s := g.Spec
+	if g.Zone != "" {
+		if _, ok := p.choose(s, g.Zone, held, now, anyKind); ok {
+			return g.Zone, g.Count
+		}
+	}
+	if k, ok := p.choose(s, "", held, now, ample); ok {
+		if first, _ := p.choose(s, "", held, now, anyKind); first == k {
+			return "", s.Tasks // as for any job, so that machines rented for others are shared
+		}
+		return k.zone, s.Tasks
+	}
+	if g.Zone != "" && !slices.Contains(p.cut, g.Zone) {
+		return "", 0 // more is asked for there once it may be
+	}
+	return "", g.Count
+}
 
 // step is the room to keep above what is booked, in machines.
 type step struct {
@@ -419,7 +441,7 @@
 
 // choose picks the cheapest kind for a task, in the allowed zone with the
 // fewest machines, leaving out what was refused lately and zones that are cut off.
-func (p *Pool) choose(s *wire.Spec, zone string, held map[string]int, now time.Time, also func(string) bool) (kind, bool) {
+func (p *Pool) choose(s *wire.Spec, zone string, held map[string]int, now time.Time, also func(kind) bool) (kind, bool) {
 	need := world.Need(s)
 	var best kind
 	bestPrice, found := 0.0, false
@@ -429,12 +451,12 @@
 			continue
 		}
 		for _, z := range t.Zones {
-			if zone != "" && z != zone || !also(z) || slices.Contains(p.cut, z) {
+			if zone != "" && z != zone || slices.Contains(p.cut, z) {
 				continue
 			}
 			for _, spot := range []bool{true, false} {
 				k := kind{name, z, spot}
-				if spot && !s.Spot || now.Before(p.refused[k]) {
+				if spot && !s.Spot || now.Before(p.refused[k]) || !also(k) {
 					continue
 				}
 				price := t.Price
@@ -576,6 +598,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.refused[k] = time.Now().Add(tuning.RefusedHold)
+	p.short[k] = time.Now().Add(tuning.ShortHold)
 }
 
 // shrink marks machines that stood idle for the hold, beyond step and minimum.
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
@@ -89,3 +90,59 @@
 		t.Errorf("%d machines, want 8", n)
 	}
 }
+
+// TestGangIsCollectedInOneZone: once every zone has shown to have less than a gang needs,
+// only the rest of it is asked for, where it has some of its room, as often as a refusal
+// allows. The pool once asked one zone after the other for the whole gang, got a machine
+// here and one there, and returned each as idle (inc-c6d1). After a while the others may
+// have more, and are asked for the whole again.
+func TestGangIsCollectedInOneZone(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		pin := rapid.SampledFrom(zones).Draw(rt, "zone")
+		free := map[int]int{} // machines that come free, by second
+		for range rapid.IntRange(0, 3).Draw(rt, "frees") {
+			free[rapid.IntRange(0, 40).Draw(rt, "second")]++
+		}
+		synctest.Test(t, func(t *testing.T) {
+			p := testPool(t)
+			p.op.PoolMin = 0
+			s := &wire.Spec{ID: "run-1", Kind: wire.KindGang, Priority: wire.PriorityHigh, Tasks: 4, CPUs: 28, GPUs: 4, MemoryGB: 200, OneZone: true}
+			for _, z := range zones {
+				p.refuse(kind{"m", z, false})
+			}
+			start, have, open, times := time.Now(), 1, 0, 0
+			asked := func() map[kind]int {
+				d := place.Demand{Spare: fit.Spare{Room: 9, Whole: 9}, Spot: fit.Spare{Room: 9}}
+				if have < 4 {
+					d.Groups = []place.Group{{Spec: s, Count: 4 - have, Zone: pin, Since: start}}
+				}
+				out := map[kind]int{}
+				for _, b := range p.bins(d) {
+					out[b.kind]++
+				}
+				return out
+			}
+			for second := range int(tuning.ShortHold / time.Second) {
+				open += free[second]
+				for k, n := range asked() {
+					times++
+					if k.zone != pin || n != 4-have {
+						t.Errorf("second %d, %d in %s: %d machines asked for in %s", second, have, pin, n, k.zone)
+					}
+					got := min(open, n)
+					open -= got
+					if have += got; got < n {
+						p.refuse(k)
+					}
+				}
+				time.Sleep(time.Second)
+			}
+			if left := asked(); have < 4 && (times < 5 || len(left) == 0) {
+				t.Errorf("asked %d times, then for %v", times, left)
+			}
+			if have < 4 && open > 0 {
+				t.Errorf("%d machines are free, the gang has %d", open, have)
+			}
+		})
+	})
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -371,6 +371,10 @@
 	DemandStale = 2 * time.Second
 	// RefusedHold is the pause after a type, zone and kind was refused.
 	RefusedHold = 6 * time.Second
+	// ShortHold is how long a kind that gave fewer machines than were asked for is
+	// believed to have less than a whole gang needs: some boot times, in which others
+	// return what they no longer use.
+	ShortHold = time.Minute
 	// BootStuck is how many nominal boot times a machine may take before it is replaced.
 	BootStuck = 3.5
 	// BootStuckMin is the least such wait.
