Zones: a controller that is started in a cut keeps the zone's leases without a view

Weighed: a file of the node's own for level or view; a new machine has none.

Change: a process that has no view renews leases under the worker's own token, without orders. What must be known, that cancellations are told late, the token proves: from record level 2 on tokens are above 2^40, and owners raise theirs once. Not while another node answers, not after standing still, no more once a worker's token rises.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -37,8 +37,10 @@
 	adopt    map[string]wire.Report
 	news     map[string]struct{} // machines whose reports told something new
 	reached  func(node string) time.Time
-	pulse    time.Time // when this process was last seen to run
-	thaw     time.Time // when it last went on after it had stood still
+	pulse    time.Time         // when this process was last seen to run
+	thaw     time.Time         // when it last went on after it had stood still
+	started  time.Time         // when this process was
+	tokens   map[string]uint64 // those that workers had when they first reported to a process without a view
 }
 
 // New makes the fleet; fresh tells as of when the view is complete.
@@ -51,7 +53,7 @@
 		http: &http.Client{Transport: rt}, lanes: semaphore.NewWeighted(tuning.OrderLanes),
 		machines: map[string]*machine{}, wishes: map[key]Wish{}, bounced: map[string]time.Time{},
 		changed: make(chan struct{}, 1), kicks: make(chan string, tuning.KickQueue), adopt: map[string]wire.Report{},
-		news: map[string]struct{}{},
+		news: map[string]struct{}{}, started: time.Now(), tokens: map[string]uint64{},
 	}
 }
 
@@ -119,6 +121,33 @@
 	return f.stops(r, rec, p.Token), true
 }
 
+// blind renews the lease of a worker though this process has no view at all: it was started
+// in a zone that is cut off, where its predecessor kept the leases. No view is the oldest
+// there can be: it starts nothing and stops nothing. That cancellations are told late,
+// which makes it safe, the worker's own token says. Another node that can be reached
+// may know more, so there must be none; and a worker whose token rises meanwhile has an
+// owner that reaches it, to whom it must not be lost. Callers hold the lock.
+func (f *Fleet) blind(r *wire.Report, now, fresh time.Time) (wire.Orders, bool) {
+	f.beats(now)
+	if !fresh.IsZero() {
+		clear(f.tokens)
+	}
+	if !fresh.IsZero() || !f.thaw.IsZero() || r.Token < tuning.CertainToken || f.reached == nil || now.Sub(f.started) < tuning.OwnerLost {
+		return wire.Orders{}, false
+	}
+	for _, s := range f.set.Siblings {
+		if now.Sub(f.reached(s.Node)) < tuning.OwnerLost {
+			return wire.Orders{}, false
+		}
+	}
+	first, ok := f.tokens[r.Machine]
+	if !ok {
+		first = r.Token
+		f.tokens[r.Machine] = first
+	}
+	return wire.Orders{Token: r.Token, Orders: []wire.Order{}}, r.Token == first
+}
+
 // stops are the orders on a view that may be old: nothing starts, but what it knows to be
 // cancelled ends. Callers hold both locks.
 func (f *Fleet) stops(r *wire.Report, rec *world.Machine, token uint64) wire.Orders {
@@ -147,6 +176,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	fresh := f.fresh()
+	if out, ok := f.blind(r, now, fresh); ok {
+		return http.StatusOK, out
+	}
 	if !entitled {
 		if out, ok := f.caretake(r, part, now, fresh); ok {
 			return http.StatusOK, out
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -124,6 +124,64 @@
 	}
 }
 
+// TestProcessWithoutView: a process that was started in a zone that is cut off renews leases
+// of all workers there though it knows nothing, and gives no orders; not before it has
+// looked for others, not while one can be reached, not where cancellations may be told at
+// once, not once it has a view or has stood still, and no more of a worker that another owner
+// has reached meanwhile. Without it a zone's 700 tasks ended with their leases
+// when the only controller in it ended during the cut.
+func TestProcessWithoutView(t *testing.T) {
+	const certain = tuning.CertainToken + 3
+	for name, c := range map[string]struct {
+		after  time.Duration // since its start
+		token  uint64
+		change func(*desk)
+		want   bool
+	}{
+		"cut off":             {10 * time.Second, certain, nil, true},
+		"just started":        {time.Second, certain, nil, false},
+		"told at once":        {10 * time.Second, 5, nil, false},
+		"no answer seen":      {10 * time.Second, 0, nil, false},
+		"another in reach":    {10 * time.Second, certain, func(k *desk) { k.reached = time.Now().Add(-time.Second) }, false},
+		"another was long so": {10 * time.Second, certain, func(k *desk) { k.reached = time.Now().Add(-tuning.OwnerLost) }, true},
+		"it has a view":       {10 * time.Second, certain, func(k *desk) { k.fresh = time.Now().Add(-time.Second) }, false},
+		"a newer owner": {10 * time.Second, certain + 1, func(k *desk) {
+			if status, _ := k.report(k.machine(1), 1, certain); status != http.StatusOK {
+				panic(status)
+			}
+		}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				k := newDesk(tuning.LevelCertain)
+				k.set.Siblings = []config.Sibling{{Node: "b"}}
+				m := k.machine(1)
+				clear(k.world.Parts)
+				clear(k.world.Machines)
+				k.fresh, k.reached, k.world.Level = time.Time{}, time.Time{}, 0
+				for range int(c.after / time.Second) {
+					time.Sleep(time.Second)
+					k.beats(time.Now())
+				}
+				if c.change != nil {
+					c.change(k)
+				}
+				status, body := k.report(m, 2, c.token)
+				if (status == http.StatusOK) != c.want {
+					t.Fatalf("%d, want renewed: %v", status, c.want)
+				}
+				if o, ok := body.(wire.Orders); ok && (o.Token != c.token || len(o.Orders) > 0) {
+					t.Errorf("%+v", o)
+				}
+				time.Sleep(2 * tuning.FreezeGap) // it stands still
+				if status, _ := k.report(m, 3, c.token); status == http.StatusOK && k.fresh.IsZero() {
+					t.Error("renewed after it had stood still")
+				}
+			})
+		})
+	}
+}
+
 // TestThawedNodeBelievesNothing: a process that stood still renews no lease, of its own
 // workers or others', until its view is confirmed, at whatever moment it goes on.
 func TestThawedNodeBelievesNothing(t *testing.T) {
--- a/internal/fleet/model_test.go
+++ b/internal/fleet/model_test.go
@@ -25,6 +25,7 @@
 	through bool // leases are renewed on a view of any age
 	certain bool // a cancellation is told once no task is bound in the records
 	hangs   bool // the worker may hang, when it ends nothing by itself
+	blind   bool // a process without any view renews leases under the worker's own token
 }
 
 // side is what a node believes.
@@ -81,6 +82,7 @@
 	}
 	step(!s.hung && (p.through || s.a.age <= modelStale), answer(func(n *state) *side { return &n.a }, 1))
 	step(!s.hung && s.ownerB && (p.through || s.b.age <= modelStale), answer(func(n *state) *side { return &n.b }, 2))
+	step(!s.hung && p.blind && s.token > 0, func(n *state) { n.lease = 0 })
 	// The owner writes that the task has left, guarded by its ownership; the cloud deletes
 	// the machine, or does not.
 	step(s.bound && (!s.ownerB && s.a.gone || s.ownerB && s.b.gone), func(n *state) { n.bound = false })
@@ -133,8 +135,8 @@
 }
 
 // TestLeasesModel visits every state of the model under each way to renew and to tell.
-// What is planted must be found: renewing through a cut while cancellations are told at
-// once, and today's rule where a worker hangs and the cloud deletes nothing.
+// What is planted must be found: renewing through a cut, or without a view, while
+// cancellations are told at once, and today's rule where a worker hangs and the cloud deletes nothing.
 func TestLeasesModel(t *testing.T) {
 	for _, c := range []struct {
 		policy
@@ -146,6 +148,8 @@
 		{policy{certain: true}, ""},
 		{policy{through: true, certain: true}, ""},
 		{policy{through: true, certain: true, hangs: true}, ""},
+		{policy{blind: true}, "ran_cancelled"},
+		{policy{blind: true, through: true, certain: true, hangs: true}, ""},
 	} {
 		t.Run(fmt.Sprintf("%+v", c.policy), func(t *testing.T) {
 			states, rule := c.explore()
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -174,8 +174,11 @@
 	if m.cache.Fresh().IsZero() || time.Since(m.cache.Fresh()) > tuning.ReadyStale {
 		return
 	}
-	claims := m.claims()
+	claims, unmarked := m.claims()
 	m.client.SetShare(m.share())
+	if unmarked != world.Leader {
+		m.Fence(ctx, unmarked, true)
+	}
 	for _, c := range claims {
 		ctx, cancel := context.WithTimeout(ctx, 2*tuning.StateTimeout)
 		_, err := m.commit.Do(ctx, c.item)
@@ -210,7 +213,9 @@
 	return tuning.StateShare * (tuning.EvenShare/float64(len(m.world.Nodes)) + (1-tuning.EvenShare)*owned/float64(m.world.Size+1))
 }
 
-func (m *Member) claims() []claim {
+// claims gives the parts to take and to hand back, and one of this node's own parts whose
+// token does not say yet that cancellations are told late; Leader if there is none.
+func (m *Member) claims() ([]claim, int) {
 	now := time.Now()
 	m.world.RLock()
 	defer m.world.RUnlock()
@@ -225,16 +230,20 @@
 			delete(m.seen, n)
 		}
 	}
+	unmarked := world.Leader
 	if !live || self.Inc != m.Inc {
-		return nil
+		return nil, unmarked
 	}
-	owned := 0
+	owned, level := 0, m.world.Level
 	for _, p := range m.world.Parts {
 		if m.mine(p) {
 			owned++
 		}
 	}
 	for part, p := range m.world.Parts {
+		if part != world.Leader && m.mine(p) && nextToken(p.Token, level) > p.Token+1 {
+			unmarked = part
+		}
 		if _, ok := m.took[part]; !m.mine(p) {
 			delete(m.took, part)
 		} else if !ok {
@@ -273,7 +282,7 @@
 		if now.Sub(since) < wait {
 			continue
 		}
-		rec := world.PartRecord{Owner: m.Self, Inc: m.Inc, Token: p.Token + 1}
+		rec := world.PartRecord{Owner: m.Self, Inc: m.Inc, Token: nextToken(p.Token, level)}
 		guards := []wire.Guard{{Key: world.PartKey(part), Stamp: p.Stamp}, selfGuard}
 		if p.Owner != m.Self && p.Owner != "" {
 			// Absent, or present as another process: either way the owner's session is gone.
@@ -282,13 +291,13 @@
 		out = append(out, claim{part, rec, store.Item{Guards: guards, Ops: []wire.Op{store.Set(world.PartKey(part), rec)}, Urgent: true}, p.Owner})
 		owned++
 	}
-	return out
+	return out, unmarked
 }
 
 // handBack returns a part to its home once that node has been back for a while,
 // so that a crash does not leave all parts with one node.
 func (m *Member) handBack(part int, p world.Part, selfGuard wire.Guard, now time.Time) (claim, bool) {
-	home := m.home(part)
+	home, level := m.home(part), m.world.Level
 	if part == world.Leader || !m.mine(p) || home == m.Self || m.fencing(part) {
 		return claim{}, false
 	}
@@ -300,13 +309,23 @@
 	if !ok || now.Sub(m.seen[home]) < wait || now.Sub(m.took[part]) < wait {
 		return claim{}, false
 	}
-	rec := world.PartRecord{Owner: home, Inc: h.Inc, Token: p.Token + 1}
+	rec := world.PartRecord{Owner: home, Inc: h.Inc, Token: nextToken(p.Token, level)}
 	return claim{part, rec, store.Item{
 		Guards: []wire.Guard{{Key: world.PartKey(part), Stamp: p.Stamp}, selfGuard, {Key: world.NodeKey(home), Stamp: h.Stamp}},
 		Ops:    []wire.Op{store.Set(world.PartKey(part), rec)}, Urgent: true,
 	}, m.Self}, true
 }
 
+// nextToken gives a part's next token. From LevelCertain on it is one that says so: the level
+// is never lowered, so a worker that has seen such a token proves that cancellations are
+// told late, even to a process that has no view at all.
+func nextToken(token uint64, level int) uint64 {
+	if token++; level >= tuning.LevelCertain && token < tuning.CertainToken {
+		token += tuning.CertainToken
+	}
+	return token
+}
+
 // Fence rewrites a part's record, so that no earlier transaction guarded by it
 // can be applied any more; raise also raises the token, which fences commands
 // on the way to workers. It returns once the view holds all that came before.
@@ -327,6 +346,7 @@
 	for ctx.Err() == nil {
 		m.world.RLock()
 		p, known := m.world.Parts[part]
+		level := m.world.Level
 		m.world.RUnlock()
 		if !known || !m.mine(p) {
 			return
@@ -334,7 +354,7 @@
 		rec := p.PartRecord
 		rec.Touch++
 		if raise {
-			rec.Token++
+			rec.Token = nextToken(rec.Token, level)
 		}
 		tctx, cancel := context.WithTimeout(ctx, 2*tuning.StateTimeout)
 		_, err := m.commit.Do(tctx, store.Item{
@@ -364,11 +384,12 @@
 	m.world.RLock()
 	p, known := m.world.Parts[part]
 	n, live := m.world.Nodes[to]
+	level := m.world.Level
 	m.world.RUnlock()
 	if !known || !live || !m.mine(p) || m.fencing(part) {
 		return
 	}
-	rec := world.PartRecord{Owner: to, Inc: n.Inc, Token: p.Token + 1, Given: true}
+	rec := world.PartRecord{Owner: to, Inc: n.Inc, Token: nextToken(p.Token, level), Given: true}
 	ctx, cancel := context.WithTimeout(ctx, 2*tuning.StateTimeout)
 	defer cancel()
 	_, err := m.commit.Do(ctx, store.Item{
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -57,6 +57,39 @@
 	})
 }
 
+func first(c []claim, _ int) []claim { return c }
+
+// TestTokensSayThatCancellationsAreToldLate: tokens only grow, and are above the mark once
+// the level is active, never before: on it a process without a view renews leases. An
+// owner whose token is below it raises its own, one part at a time.
+func TestTokensSayThatCancellationsAreToldLate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		token, level := rapid.Uint64Range(0, 1000).Draw(t, "token"), 0
+		for range 20 {
+			level = max(level, rapid.IntRange(0, tuning.Level).Draw(t, "level"))
+			next := nextToken(token, level)
+			if next <= token || (next >= tuning.CertainToken) != (level >= tuning.LevelCertain) {
+				t.Fatalf("%d after %d at level %d", next, token, level)
+			}
+			token = next
+		}
+	})
+	w, members := region(3)
+	m := members[1]
+	w.Nodes[m.Self] = world.Node{NodeRecord: world.NodeRecord{Inc: 1}, Stamp: 5}
+	for p := world.Leader; p < 3; p++ {
+		w.Parts[p] = world.Part{PartRecord: world.PartRecord{Owner: m.Self, Inc: 1, Token: tuning.CertainToken + 4}, Stamp: 3}
+	}
+	w.Parts[2] = world.Part{PartRecord: world.PartRecord{Owner: m.Self, Inc: 1, Token: 4}, Stamp: 3}
+	w.Parts[world.Leader] = world.Part{PartRecord: world.PartRecord{Owner: m.Self, Inc: 1, Token: 4}, Stamp: 3}
+	for level, want := range map[int]int{0: world.Leader, tuning.LevelCertain: 2} {
+		w.Level = level
+		if _, part := m.claims(); part != want {
+			t.Errorf("level %d: part %d is raised, want %d", level, part, want)
+		}
+	}
+}
+
 // TestOnePartHasOneOwner: of all nodes that claim a part at once, the records'
 // guards let one through, and every change of owner raises the token.
 func TestOnePartHasOneOwner(t *testing.T) {
@@ -67,7 +100,7 @@
 	w.Parts[0] = world.Part{PartRecord: world.PartRecord{Owner: members[0].Self, Inc: 9, Token: 4}, Stamp: 3}
 	claimed := 0
 	for _, m := range members {
-		for _, c := range m.claims() {
+		for _, c := range first(m.claims()) {
 			if c.part != 0 {
 				continue
 			}
--- a/internal/standin/region_test.go
+++ b/internal/standin/region_test.go
@@ -271,6 +271,24 @@
 	})
 }
 
+// TestZoneWhoseControllerEndsWorksOn: the only controller of a zone that is cut off ends
+// during the cut and is started again there, where it can read nothing. The zone's tasks go
+// on all the same.
+func TestZoneWhoseControllerEndsWorksOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		machines, gone, ended := survivors(t, 4, 20*time.Minute, []string{"west"}, func(r *Region) {
+			r.CutZone("west", true, time.Now().Add(100*time.Second))
+			time.Sleep(10 * time.Second)
+			r.Kill(1)
+			time.Sleep(5 * time.Second)
+			r.Start(1)
+		})
+		if machines < 8 || gone > 3 || ended > 0 {
+			t.Errorf("of %d machines %d are gone, %d ended their tasks", machines, gone, ended)
+		}
+	})
+}
+
 // TestNodeCutFromStateKeepsNoWorkers: a node that has lost the state service for long loses
 // its parts; its workers must follow their new owner before their leases end. A worker
 // that has seen a higher token drops the answers of the old one and yet stays with it.
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -195,6 +195,9 @@
 	// FreezeGap means that it stood still, and that what it believes is to be confirmed.
 	PulseEvery = 500 * time.Millisecond
 	FreezeGap  = 3 * time.Second
+	// CertainToken is what tokens are above once cancellations are told late: more owners
+	// than any part has before that, and far below what numbers of messages hold.
+	CertainToken = 1 << 40
 	// OwnerLost is how long a part's owner must not have answered this node, two
 	// rounds of hints, before its workers' leases are renewed here in a cut.
 	OwnerLost = 2 * ImagesEvery
