--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -109,8 +109,17 @@
 		"<sableusher><lambda>NaN</lambda></sableusher>":                 "lambda",
 		"<sableusher><lambda>1</lambda><lambda>1</lambda></sableusher>": "lambda",
 		"<sableusher><lambda x='1'>1</lambda></sableusher>":             "lambda",
-		"<other/>":             "other",
-		"":                     "sableusher",
+		"<other/>": "other",
+		"":         "sableusher",
+		"<sableusher><classes><class name='a' repeats='1' pause-s='1'/></classes></sableusher>":                                                                          "pause-max-s",
+		"<sableusher><classes><class name='a' repeats='-1' pause-s='1' pause-max-s='2'/></classes></sableusher>":                                                         "repeats",
+		"<sableusher><classes><class name='a' repeats='1' pause-s='3' pause-max-s='2'/></classes></sableusher>":                                                          "pause-max-s",
+		"<sableusher><classes><class name='' repeats='1' pause-s='1' pause-max-s='2'/></classes></sableusher>":                                                           "name",
+		"<sableusher><classes><class name='a' repeats='1' pause-s='1' pause-max-s='2'/><class name='a' repeats='1' pause-s='1' pause-max-s='2'/></classes></sableusher>": "twice",
+		"<sableusher><classes><class name='a' repeats='x' pause-s='1' pause-max-s='2'/></classes></sableusher>":                                                          "",
+		"<sableusher><classes><class name='a' repeats='1' pause-s='1' pause-max-s='2' colour='red'/></classes></sableusher>":                                             "colour",
+		"<sableusher><classes><kind/></classes></sableusher>":                                                                                                            "kind",
+		"<sableusher><class name='a' repeats='1' pause-s='1' pause-max-s='2'/></sableusher>":                                                                             "class",
 		"<sableusher><lambda>": "",
 		"<sableusher><pool-minimum>two</pool-minimum></sableusher>": "",
 	} {
@@ -119,3 +128,20 @@
 		}
 	}
 }
+
+// TestClassesFile: the file that operators are given to switch classes on is read as it
+// is; without it none is on.
+func TestClassesFile(t *testing.T) {
+	op, err := LoadOperator("../../deploy/classes.xml")
+	if err != nil || len(op.Classes) == 0 || op.PoolMin != 2 {
+		t.Fatalf("%+v, %v", op, err)
+	}
+	for _, c := range op.Classes {
+		if c.Name == "" || c.PauseMaxS < c.PauseS {
+			t.Errorf("%+v", c)
+		}
+	}
+	if op, err := LoadOperator(""); err != nil || len(op.Classes) != 0 {
+		t.Errorf("on by default: %+v, %v", op.Classes, err)
+	}
+}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -10,6 +10,10 @@
 	"math"
 	"os"
 	"reflect"
+	"slices"
+	"strings"
+
+	"sableusher/internal/tuning"
 )
 
 //go:embed operator.xml
@@ -29,6 +33,16 @@
 	RefitS      float64  `xml:"refit-s"`
 	Learn       bool     `xml:"learn"`
 	OwnedFleet  bool     `xml:"owned-fleet"`
+	// Classes of jobs whose tasks may fail so often only; none by default.
+	Classes []Class `xml:"classes>class"`
+}
+
+// Class limits the repeats of tasks of a class.
+type Class struct {
+	Name      string  `xml:"name,attr"`
+	Repeats   int     `xml:"repeats,attr"`     // the most starts after a failure of a task's own
+	PauseS    float64 `xml:"pause-s,attr"`     // seconds before the first repeat, doubled for each further one
+	PauseMaxS float64 `xml:"pause-max-s,attr"` // the longest such pause, in seconds
 }
 
 // LoadOperator reads the operators' file over the embedded defaults; an empty
@@ -54,6 +68,7 @@
 	op := Operator{}
 	if base != nil {
 		op = *base
+		op.Classes = nil // a list is replaced, not added to
 	}
 	if err := checkElements(b); err != nil {
 		return nil, fmt.Errorf("operators' settings: %w", err)
@@ -76,6 +91,19 @@
 	num("pool-step", float64(op.PoolStep), 0, 1000)
 	num("pool-hold-s", op.PoolHoldS, 0, 86400)
 	num("refit-s", op.RefitS, 0.5, 3600)
+	if len(op.Classes) > tuning.MaxClasses {
+		errs = append(errs, fmt.Errorf("<classes>: more than %d", tuning.MaxClasses))
+	}
+	names := map[string]bool{}
+	for _, c := range op.Classes {
+		if c.Name == "" || len(c.Name) > tuning.MaxNameBytes || names[c.Name] {
+			errs = append(errs, fmt.Errorf("<class name=%q>: empty, too long or named twice", c.Name))
+		}
+		names[c.Name] = true
+		num(fmt.Sprintf("class name=%q repeats", c.Name), float64(c.Repeats), 0, tuning.MaxRepeats)
+		num(fmt.Sprintf("class name=%q pause-s", c.Name), c.PauseS, 0, tuning.MaxPauseS)
+		num(fmt.Sprintf("class name=%q pause-max-s", c.Name), c.PauseMaxS, c.PauseS, tuning.MaxPauseS)
+	}
 	if err := oneLine(errs); err != nil {
 		return nil, fmt.Errorf("operators' settings: %w", err)
 	}
@@ -83,13 +111,17 @@
 }
 
 func checkElements(b []byte) error {
-	known := map[string]bool{}
+	known, lists := map[string]bool{}, map[string]string{}
 	t := reflect.TypeFor[Operator]()
 	for i := range t.NumField() {
-		known[t.Field(i).Tag.Get("xml")] = true
+		name, item, list := strings.Cut(t.Field(i).Tag.Get("xml"), ">")
+		known[name] = true
+		if list {
+			lists[name] = item
+		}
 	}
 	dec := xml.NewDecoder(bytes.NewReader(b))
-	depth, seen := 0, map[string]bool{}
+	depth, seen, within := 0, map[string]bool{}, ""
 	for {
 		tok, err := dec.Token()
 		if errors.Is(err, io.EOF) {
@@ -104,9 +136,17 @@
 		switch el := tok.(type) {
 		case xml.StartElement:
 			n := el.Name.Local
+			if depth == 2 && n == lists[within] {
+				if err := checkAttributes(el); err != nil {
+					return err
+				}
+				depth++
+				continue
+			}
 			if (depth == 0) != (n == "sableusher") || depth > 1 || !known[n] {
 				return fmt.Errorf("<%s>: unknown element", n)
 			}
+			within = n
 			if seen[n] {
 				return fmt.Errorf("<%s>: stands twice", n)
 			}
@@ -120,3 +160,25 @@
 		}
 	}
 }
+
+// checkAttributes refuses an item of a list that lacks an attribute, has an unknown one,
+// or one twice. Each is needed: a pause left out is no pause that anyone chose.
+func checkAttributes(el xml.StartElement) error {
+	var want []string
+	t := reflect.TypeFor[Class]()
+	for i := range t.NumField() {
+		name, _, _ := strings.Cut(t.Field(i).Tag.Get("xml"), ",")
+		want = append(want, name)
+	}
+	for _, a := range el.Attr {
+		i := slices.Index(want, a.Name.Local)
+		if i < 0 {
+			return fmt.Errorf("<%s>: attribute %s is unknown or stands twice", el.Name.Local, a.Name.Local)
+		}
+		want = slices.Delete(want, i, i+1)
+	}
+	if len(want) > 0 {
+		return fmt.Errorf("<%s>: attribute %s is missing", el.Name.Local, strings.Join(want, ", "))
+	}
+	return nil
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -17,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"sableusher/internal/config"
+	"sableusher/internal/repeats"
 	"sableusher/internal/store"
 	"sableusher/internal/tuning"
 	"sableusher/internal/wire"
@@ -53,6 +54,7 @@
 	view    View
 	workers Workers
 	teams   map[string]config.Team
+	repeats repeats.Rules
 	log     *slog.Logger
 	slots   chan struct{}
 	aborts  chan struct{} // cancellations that wait for tasks to leave
@@ -63,8 +65,8 @@
 }
 
 // New makes the handlers.
-func New(set *config.Settings, w *world.World, rec store.Reader, c Committer, v View, workers Workers, log *slog.Logger) *Intake {
-	in := &Intake{world: w, records: rec, commit: c, view: v, workers: workers, teams: map[string]config.Team{}, log: log,
+func New(set *config.Settings, op *config.Operator, w *world.World, rec store.Reader, c Committer, v View, workers Workers, log *slog.Logger) *Intake {
+	in := &Intake{world: w, records: rec, commit: c, view: v, workers: workers, teams: map[string]config.Team{}, repeats: repeats.New(op.Classes), log: log,
 		slots: make(chan struct{}, tuning.BusyRequests), aborts: make(chan struct{}, tuning.AbortsWaiting), finals: map[string]world.FinalRecord{}}
 	for _, t := range set.Deployment.Teams {
 		in.teams[t.Name] = t
@@ -137,6 +139,10 @@
 	if err == nil {
 		spec, err = wire.DecodeSpec(b)
 	}
+	var asked *int
+	if err == nil && in.repeats.On() {
+		asked, err = wire.DecodeRepeats(b)
+	}
 	if err != nil {
 		in.log.Debug("submission malformed", "err", err)
 		wire.Reply(w, http.StatusBadRequest, wire.Problem{Error: err.Error()})
@@ -148,6 +154,10 @@
 	other := known && !sameAwaits(live.Spec.Awaits, spec.Awaits)
 	types, level := len(in.world.Types), in.world.Level
 	why := in.impossible(spec)
+	limit, over := in.repeats.Limit(spec.Class, asked)
+	if why == "" {
+		why = over
+	}
 	fit := in.world.Fit(in.commit.LeastRoom())
 	in.world.RUnlock()
 	if other {
@@ -155,6 +165,13 @@
 		return
 	}
 	if !known {
+		if level >= tuning.LevelRepeats {
+			spec.Repeats = limit
+		} else if asked != nil && why == "" {
+			// A node that runs the version before would lose the count.
+			unavailable(w, "not all nodes count repeats yet")
+			return
+		}
 		rec := world.JobRecord{Spec: *spec, AtMs: time.Now().UnixMilli()}
 		if why == "" {
 			why = lay(&rec, level, fit)
@@ -267,7 +284,7 @@
 	if j := in.world.Jobs[id]; j != nil && j.Known {
 		st, undecided, doubtful := in.live(id, j), in.world.Undecided(j), in.doubtful(j)
 		in.world.RUnlock()
-		if doubtful || undecided && st.Status != wire.JobCancelled {
+		if doubtful || undecided && st.Status != wire.JobCancelled && st.Status != wire.JobFailed {
 			return wire.Status{}, errUndecided
 		}
 		return st, nil
@@ -300,7 +317,7 @@
 		// Told once no task is left, never before: nothing that renews a lease
 		// somewhere behind a cut can then keep one beyond its time. A binding in a
 		// further record may lie just before the cancellation: the view holds it then.
-		st.Status = wire.JobCancelled
+		st.Status = j.Ending()
 	case j.Done == j.Spec.Tasks:
 		st.Status = wire.JobDone
 	case j.Bound > 0:
@@ -364,7 +381,7 @@
 		if err != nil {
 			break
 		}
-		if st.Status == wire.JobDone || st.Status == wire.JobCancelled {
+		if st.Status == wire.JobDone || st.Status == wire.JobCancelled || st.Status == wire.JobFailed {
 			wire.Reply(w, http.StatusOK, wire.Accepted{ID: id, Status: st.Status})
 			return
 		}
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -77,7 +77,9 @@
 		CPUs: 4, GPUs: 1, MemoryGB: 8, Image: "i", ImageGB: 1}
 }
 
-func setup(catalog bool) (*outside, http.Handler) {
+func setup(catalog bool) (*outside, http.Handler) { return setupWith(catalog, &config.Operator{}) }
+
+func setupWith(catalog bool, op *config.Operator) (*outside, http.Handler) {
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	o := &outside{world: world.New(3, log), finals: map[string]world.FinalRecord{}, seen: 7}
 	set := &config.Settings{}
@@ -85,7 +87,7 @@
 	if catalog {
 		o.put(world.CatalogKey, wire.Catalog{Types: []wire.MachineType{{Name: "m", CPUs: 8, GPUs: 2, MemoryGB: 64, Zones: []string{"z"}}}})
 	}
-	return o, New(set, o.world, o, o, o, o, log).Handler()
+	return o, New(set, op, o.world, o, o, o, o, log).Handler()
 }
 
 func ask(h http.Handler, method, path string, body []byte) (int, wire.Status) {
@@ -147,6 +149,87 @@
 	}
 }
 
+// TestRepeats: a job may ask for as many repeats as its class allows or fewer; more is
+// refused as any job that can never run. Nothing is accepted with a limit before all nodes
+// count, and where no class limits repeats the field means nothing, as before.
+func TestRepeats(t *testing.T) {
+	limited := &config.Operator{Classes: []config.Class{{Name: "c", Repeats: 3}}}
+	body := func(class string, repeats any) []byte {
+		var fields map[string]any
+		s := spec()
+		s.Class = class
+		if err := wire.Decode(wire.MustEncode(s), &fields); err != nil {
+			t.Fatal(err)
+		}
+		if fields["repeats"] = repeats; repeats == nil {
+			delete(fields, "repeats")
+		}
+		return wire.MustEncode(fields)
+	}
+	for name, c := range map[string]struct {
+		op    *config.Operator
+		level int
+		body  []byte
+		want  int
+		limit int // -1: none is recorded
+	}{
+		"its class's":          {limited, tuning.LevelRepeats, body("c", nil), 201, 3},
+		"fewer":                {limited, tuning.LevelRepeats, body("c", 1), 201, 1},
+		"none":                 {limited, tuning.LevelRepeats, body("c", 0), 201, 0},
+		"more":                 {limited, tuning.LevelRepeats, body("c", 4), 422, -1},
+		"absurd":               {limited, tuning.LevelRepeats, body("c", -1), 400, -1},
+		"no number":            {limited, tuning.LevelRepeats, body("c", "3"), 400, -1},
+		"a class without":      {limited, tuning.LevelRepeats, body("d", nil), 201, -1},
+		"asked, class without": {limited, tuning.LevelRepeats, body("d", 9), 201, 9},
+		"before all count":     {limited, tuning.LevelRepeats - 1, body("c", nil), 201, -1},
+		"asked before":         {limited, tuning.LevelRepeats - 1, body("c", 1), 503, -1},
+		"more, before":         {limited, tuning.LevelRepeats - 1, body("c", 4), 422, -1},
+		"off":                  {&config.Operator{}, tuning.LevelRepeats, body("c", 4), 201, -1},
+		"off, no number":       {&config.Operator{}, tuning.LevelRepeats, body("c", "3"), 201, -1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o, h := setupWith(true, c.op)
+			o.put(world.LevelKey, world.LevelRecord{Level: c.level})
+			if status, _ := ask(h, http.MethodPost, "/v1/jobs", c.body); status != c.want {
+				t.Fatalf("%d, want %d", status, c.want)
+			}
+			limit := -1
+			if c.want == 201 {
+				var rec world.JobRecord
+				if err := wire.Decode(o.done[0].Ops[0].Value, &rec); err != nil {
+					t.Fatal(err)
+				}
+				if rec.Spec.Repeats != nil {
+					limit = *rec.Spec.Repeats
+				}
+			}
+			if limit != c.limit {
+				t.Errorf("limit %d, want %d", limit, c.limit)
+			}
+		})
+	}
+}
+
+// TestFailedJobIsOver: a job that ended itself is called failed once no task of it is left,
+// to those who poll and to those who cancel; until then it runs.
+func TestFailedJobIsOver(t *testing.T) {
+	o, h := setup(true)
+	rec := world.JobRecord{Spec: spec(), CancelMs: 5, Certain: true, Failed: true,
+		Tasks: []world.Task{{Index: 1, State: world.Bound, Attempt: 1, Machine: "m", Session: 1}}}
+	o.put(world.JobKey("run-000001"), rec)
+	if status, st := ask(h, http.MethodGet, "/v1/jobs/run-000001", nil); status != 200 || st.Status != wire.JobRunning {
+		t.Errorf("with a task on a machine: %d %q", status, st.Status)
+	}
+	rec.Tasks = nil
+	o.put(world.JobKey("run-000001"), rec)
+	if status, st := ask(h, http.MethodGet, "/v1/jobs/run-000001", nil); status != 200 || st.Status != wire.JobFailed {
+		t.Errorf("%d %q", status, st.Status)
+	}
+	if status, st := ask(h, http.MethodPost, "/v1/jobs/run-000001/abort", nil); status != 200 || st.Status != wire.JobFailed {
+		t.Errorf("cancelled: %d %q", status, st.Status)
+	}
+}
+
 func TestPolls(t *testing.T) {
 	o, h := setup(true)
 	if status, _ := ask(h, http.MethodGet, "/v1/jobs/run-000009", nil); status != 404 || o.syncs != 1 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -64,7 +64,7 @@
 	machines := pool.New(set, op, view, members, engine, cloud, commit, log)
 	outcomes := pipeline.New(view, client, log)
 	levels := upgrade.New(set, level, view, members, commit, client, log)
-	users := intake.New(set, view, client, commit, cache, workers, log)
+	users := intake.New(set, op, view, client, commit, cache, workers, log)
 	return &Node{handler: users.Handler(), runs: []func(context.Context) error{
 		cache.Run, commit.Run, members.Run, workers.Run, engine.Run, engine.Learn, engine.Hints, machines.Run, peers.Run, outcomes.Run, levels.Run,
 	}}, nil
--- a/internal/place/changes.go
+++ b/internal/place/changes.go
@@ -30,6 +30,7 @@
 	stops   int               // machines on which room is being freed in this round
 	counts  bool              // this round counts the demand for the pool
 	blocked bool              // a task's end could not be written yet
+	ending  map[string]bool   // jobs that a change of this round ends as failed
 	gangs   map[gangKey]bool  // whether an attempt is broken, looked at once a round
 	pulls   map[string]pulled // what jobs that need others ask of them
 }
@@ -53,11 +54,12 @@
 	tasks map[int]world.Task
 	parts map[int]bool
 	binds []bind
-	size  int // what the record takes, as JSON; 0: not measured yet
+	size  int  // what the record takes, as JSON; 0: not measured yet
+	ends  bool // a task of it has no repeat left: the job fails
 }
 
 func (e *Engine) newRound(now time.Time) *round {
-	r := &round{Engine: e, now: now, tokens: map[int]uint64{}, stamps: map[int]uint64{}, edits: map[editKey]*edit{}, gangs: map[gangKey]bool{},
+	r := &round{Engine: e, now: now, tokens: map[int]uint64{}, stamps: map[int]uint64{}, edits: map[editKey]*edit{}, gangs: map[gangKey]bool{}, ending: map[string]bool{},
 		moveM: map[string]world.Amount{}, moveP: map[int]map[string]world.Amount{}, moveJ: map[string]int{},
 		live: make([]bool, e.world.Size)}
 	for p := range e.world.Size {
@@ -206,6 +208,14 @@
 func (r *round) emit(id string, j *world.Job, eds []*edit) {
 	c := &change{what: "tasks of " + id}
 	parts, done, bound, touched := map[int]bool{}, j.Done, j.Bound, false
+	ends := slices.ContainsFunc(eds, func(ed *edit) bool { return ed.ends })
+	if ends {
+		// Marked as cancelled, so that all that holds for such jobs holds: nothing starts
+		// any more, what runs is stopped, what awaits it falls.
+		failed := *j
+		failed.CancelMs, failed.Certain, failed.Failed = max(r.now.UnixMilli(), 1), true, true
+		j = &failed
+	}
 	guards := map[string]uint64{}
 	for _, ed := range eds {
 		for i, t := range ed.tasks {
@@ -237,9 +247,10 @@
 	case single && done == j.Spec.Tasks:
 		c.item.Ops = r.final(j, wire.JobDone, done)
 	case single && j.Cancelled() && bound == 0:
-		c.item.Ops = r.final(j, wire.JobCancelled, done)
-	case !single && j.Spec.OneZone && !touched && len(c.binds) > 0:
-		// Bindings of different records must not choose different zones at once.
+		c.item.Ops = r.final(j, j.Ending(), done)
+	case !touched && (ends || !single && j.Spec.OneZone && len(c.binds) > 0):
+		// The mark stands in the job's own record; and bindings of different records must
+		// not choose different zones at once.
 		op := j.Encode(0, nil)
 		c.item.Ops = append(c.item.Ops, op)
 		c.keys = append(c.keys, op.Set)
--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -15,6 +15,7 @@
 	"sableusher/internal/member"
 	"sableusher/internal/order"
 	"sableusher/internal/quota"
+	"sableusher/internal/repeats"
 	"sableusher/internal/silence"
 	"sableusher/internal/store"
 	"sableusher/internal/tuning"
@@ -31,7 +32,9 @@
 	fleet  *fleet.Fleet
 	commit *store.Committer
 	quota  *quota.Keeper
-	log    *slog.Logger
+	// repeats paces tasks that failed by themselves.
+	repeats repeats.Rules
+	log     *slog.Logger
 
 	mu      sync.Mutex
 	ctx     context.Context
@@ -101,7 +104,7 @@
 // New makes an engine.
 func New(set *config.Settings, op *config.Operator, w *world.World, m *member.Member, f *fleet.Fleet, c *store.Committer, reader store.Reader, peers Peers, log *slog.Logger) *Engine {
 	return &Engine{
-		set: set, op: op, world: w, member: m, fleet: f, commit: c, quota: quota.New(set.Deployment.Teams, w), log: log,
+		set: set, op: op, world: w, member: m, fleet: f, commit: c, quota: quota.New(set.Deployment.Teams, w), repeats: repeats.New(op.Classes), log: log,
 		busy: map[string]bool{}, moving: map[uint64]*change{}, backoff: map[string]retry{}, waits: map[string]wait{}, look: map[string]struct{}{}, valued: map[string]valued{},
 		forming: map[string]time.Time{}, told: map[string]time.Time{}, held: map[string]reserve{}, owned: map[int]time.Time{}, gone: map[string]bool{}, buried: map[string]time.Time{},
 		moves: map[string]bool{}, refused: map[string]time.Time{}, fenced: map[int]time.Time{}, reader: reader, peers: peers,
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -298,7 +298,16 @@
 // admit finds how many tasks of a job wait that its team's limit allows.
 func (r *round) admit(du *due, total map[string]world.Amount) bool {
 	j, spec := du.job, &du.job.Spec
-	du.Left = max(0, j.Pending()-r.moveJ[spec.ID])
+	paused := 0
+	for i := range j.Failing {
+		if r.paused(j, i) {
+			paused++
+		}
+	}
+	du.Left = max(0, j.Pending()-r.moveJ[spec.ID]-paused)
+	if r.ending[spec.ID] || paused > 0 && spec.Kind == wire.KindGang {
+		du.Left = 0 // all or none
+	}
 	du.later = r.pressed && du.rank > wire.Rank(wire.PriorityHigh)
 	if limit, ok := r.quota.Limit(spec.Team); ok {
 		open := limit.Plus(total[spec.Team], -1)
@@ -319,6 +328,12 @@
 	return du.Left > 0 // none: not a want of machines
 }
 
+// paused tells whether a task that failed is not to be repeated yet.
+func (r *round) paused(j *world.Job, i int) bool {
+	f, ok := j.Failing[i]
+	return ok && r.now.Sub(f.At) < r.repeats.Pause(j.Spec.Class, f.Failures)
+}
+
 // deal gives a job's tasks room in the part that the job is dealt to, so that
 // its record has one writer as a rule; with held only where its image is. A gang
 // is placed whole over all parts.
@@ -496,7 +511,7 @@
 			continue
 		}
 		t := r.task(j, i)
-		if t.State != world.Idle {
+		if t.State != world.Idle || r.paused(j, i) {
 			continue
 		}
 		if r.full(j, k, 1, picks[0].M.Name) {
@@ -522,6 +537,9 @@
 func (r *round) bind(du *due, i int, attempt uint64, n *fit.Node, charge int) bool {
 	j := du.job
 	team := j.Spec.Team
+	if r.ending[j.Spec.ID] {
+		return false // in the same change as its end it would be bound to a job that is over
+	}
 	if j.Waits() {
 		// Every way to a machine comes through here: queues may err, this may not.
 		r.log.Error("a job that waits for others was about to start", "job", j.Spec.ID)
@@ -541,7 +559,7 @@
 		session = r.fleet.Look(n.M.Name, r.tokens[n.M.Part]).Session
 	}
 	ref := world.TaskRef{Job: j.Spec.ID, Index: i}
-	t := world.Task{Index: i, State: world.Bound, Attempt: attempt, Machine: n.M.Name, Session: session}
+	t := world.Task{Index: i, State: world.Bound, Attempt: attempt, Machine: n.M.Name, Session: session, Failures: r.task(j, i).Failures}
 	if charge != n.M.Part {
 		t.Charge = charge + 1
 	}
--- a/internal/place/settle.go
+++ b/internal/place/settle.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sableusher/internal/fleet"
+	"sableusher/internal/repeats"
 	"sableusher/internal/settle"
 	"sableusher/internal/store"
 	"sableusher/internal/tuning"
@@ -14,16 +15,22 @@
 )
 
 // release ends a binding in the record.
-func (r *round) release(b world.Binding, machine string, state int, why string) {
+// It gives the change that it is part of; nil if it is none, or can't be made just now.
+func (r *round) release(b world.Binding, machine string, state int, why string) *edit {
 	r.blocked = true
 	ed := r.edit(b.Job, b.Ref.Index)
 	if ed == nil {
-		return
+		return nil
 	}
-	if t := r.task(b.Job, b.Ref.Index); t.State != world.Bound || t.Attempt != b.Attempt || t.Machine != machine {
-		return
+	t := r.task(b.Job, b.Ref.Index)
+	if t.State != world.Bound || t.Attempt != b.Attempt || t.Machine != machine {
+		return nil
 	}
-	ed.tasks[b.Ref.Index] = world.Task{Index: b.Ref.Index, State: state, Attempt: b.Attempt}
+	left := world.Task{Index: b.Ref.Index, State: state, Attempt: b.Attempt}
+	if state != world.Done {
+		left.Failures = t.Failures
+	}
+	ed.tasks[b.Ref.Index] = left
 	// A gang's tasks end together, also those in other nodes' parts: there the
 	// job's record alone is the guard, as this node doesn't own the part.
 	if part := world.PartOf(machine, r.world.Size); r.stamps[part] != 0 {
@@ -31,6 +38,19 @@
 	}
 	r.ended(b, state == world.Done, machine)
 	r.log.Debug("task leaves machine", "task", b.Ref, "attempt", b.Attempt, "machine", machine, "why", why)
+	return ed
+}
+
+// spend counts a failure with the change that ends its attempt: it is in the records or
+// it has not been told, whoever ends in between. With the last repeat the job ends.
+func (r *round) spend(b world.Binding, ed *edit, last bool) {
+	t := ed.tasks[b.Ref.Index]
+	t.Failures++
+	ed.tasks[b.Ref.Index] = t
+	if last {
+		ed.ends, r.ending[b.Ref.Job] = true, true
+	}
+	r.log.Info("task failed", "task", b.Ref, "attempt", b.Attempt, "failures", t.Failures, "repeats", *b.Job.Spec.Repeats, "ends", last)
 }
 
 // settle carries out what became of the tasks bound in this node's parts, on
@@ -91,7 +111,8 @@
 // settleTask carries out what is to become of one bound task.
 func (r *round) settleTask(b world.Binding, name string, token uint64) {
 	spec := &b.Job.Spec
-	t := settle.Task{Task: r.fleet.Fate(b, name, token), Kind: spec.Kind, Cancelled: b.Job.Cancelled(), Stopping: r.fleet.Stopping(b)}
+	t := settle.Task{Task: r.fleet.Fate(b, name, token), Kind: spec.Kind, Cancelled: b.Job.Cancelled(), Stopping: r.fleet.Stopping(b),
+		Counted: spec.Repeats != nil, Spent: repeats.Spent(spec.Repeats, r.task(b.Job, b.Ref.Index).Failures)}
 	d := settle.Decide(t)
 	if d.Kick {
 		r.fleet.Kick(name)
@@ -121,7 +142,9 @@
 			}
 		}
 	case d.Release:
-		r.release(b, name, d.State, d.Why)
+		if ed := r.release(b, name, d.State, d.Why); ed != nil && d.Count {
+			r.spend(b, ed, d.End)
+		}
 	case t.Fate == fleet.Alive:
 		r.alive(b, t.Task)
 	}
@@ -186,7 +209,7 @@
 			ops = r.final(j, wire.JobDone, j.Done)
 		// No task can be bound after the cancellation, and the view holds all before it.
 		case j.Cancelled() && j.Bound == 0 && r.member.Seen(j.Stamp):
-			ops = r.final(j, wire.JobCancelled, j.Done)
+			ops = r.final(j, j.Ending(), j.Done)
 		}
 		if len(ops) > 0 {
 			r.out = append(r.out, &change{what: "finish " + id, keys: []string{key}, item: store.Item{Guards: []wire.Guard{guard}, Ops: ops}})
--- /dev/null
+++ b/internal/repeats/main_test.go
@@ -0,0 +1,9 @@
+package repeats
+
+import (
+	"testing"
+
+	"sableusher/internal/seeded"
+)
+
+func TestMain(m *testing.M) { seeded.Main(m) }
--- a/internal/settle/settle.go
+++ b/internal/settle/settle.go
@@ -16,6 +16,8 @@
 	Kind      string // of its job
 	Cancelled bool   // its job is
 	Stopping  bool   // it has been told to stop
+	Counted   bool   // its failures are counted
+	Spent     bool   // it has no repeat left
 }
 
 // Step is what to do about a task.
@@ -29,6 +31,8 @@
 	Failure bool   // it failed by itself on this machine
 	Refused bool   // the machine had less room than was thought
 	Pause   bool   // its job waits for a growing while
+	Count   bool   // a repeat is spent
+	End     bool   // the job fails with it
 }
 
 // Decide gives what to do about a task.
@@ -66,7 +70,9 @@
 			s.Why, s.State, s.Gang = "done", world.Done, t.Kind == wire.KindGang
 		}
 	case wire.CauseError:
-		s.Failure, s.Pause = true, true
+		// Its class paces the repeats of what is counted.
+		s.Failure, s.Pause, s.Count = true, !t.Counted, t.Counted
+		s.End = t.Counted && t.Spent && !t.Cancelled
 	case wire.CauseNoRoom, wire.CauseBusy:
 		s.Refused = true
 	case wire.CauseUnknown:
--- a/internal/settle/settle_test.go
+++ b/internal/settle/settle_test.go
@@ -17,8 +17,9 @@
 	for _, fate := range []fleet.Fate{fleet.Unclear, fleet.Alive, fleet.Exited, fleet.Lost, fleet.Absent} {
 		for _, cause := range []string{wire.CauseDone, wire.CauseError, wire.CauseStopped, wire.CauseNoRoom, wire.CauseBusy, wire.CauseUnknown, "new"} {
 			for _, kind := range []string{wire.KindArray, wire.KindGang, wire.KindService} {
-				for bits := range 4 {
-					task := Task{Task: fleet.Task{Fate: fate, Cause: cause}, Kind: kind, Cancelled: bits&1 != 0, Stopping: bits&2 != 0}
+				for bits := range 16 {
+					task := Task{Task: fleet.Task{Fate: fate, Cause: cause}, Kind: kind, Cancelled: bits&1 != 0, Stopping: bits&2 != 0,
+						Counted: bits&4 != 0, Spent: bits&8 != 0}
 					s := Decide(task)
 					seen[s] = true
 					proof := fate == fleet.Lost || fate == fleet.Exited || fate == fleet.Absent && task.Stopping
@@ -29,6 +30,10 @@
 					if (s.State == world.Done) != done || s.Gang != (done && kind == wire.KindGang) {
 						t.Errorf("%+v: %+v", task, s)
 					}
+					failed := fate == fleet.Exited && cause == wire.CauseError
+					if s.Count != (failed && task.Counted) || s.End != (s.Count && task.Spent && !task.Cancelled) || s.Count && s.Pause {
+						t.Errorf("%+v: %+v", task, s)
+					}
 					if s.Failure && cause != wire.CauseError || s.Refused && s.Failure {
 						t.Errorf("%+v: %+v", task, s)
 					}
--- a/internal/standin/oracle.go
+++ b/internal/standin/oracle.go
@@ -24,6 +24,8 @@
 	on     map[world.TaskRef]map[string]Place
 	Broken []string
 	Starts int
+	// Limits holds the repeats that classes allow.
+	Limits map[string]int
 }
 
 // truth is what is known of a job from outside the service.
@@ -35,7 +37,9 @@
 	sent      time.Time
 	asked     bool // its user asked to cancel it
 	cancelled time.Time
-	told      string // the last final state told
+	told      string      // the last final state told
+	failed    map[int]int // failures of tasks of their own
+	counted   map[int]int // those of them that the service has acknowledged
 }
 
 // NewOracle makes an oracle for a region.
@@ -58,7 +62,7 @@
 func (o *Oracle) Submitted(s wire.Spec) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.jobs[s.ID] = &truth{spec: s, done: map[int]bool{}, saved: map[int]float64{}, sent: time.Now()}
+	o.jobs[s.ID] = &truth{spec: s, done: map[int]bool{}, saved: map[int]float64{}, sent: time.Now(), failed: map[int]int{}, counted: map[int]int{}}
 }
 
 // Answer notes what a user was told about a job: status 201 or 200 with a
@@ -90,16 +94,19 @@
 	if j.told != "" && state != j.told {
 		o.breaks("went_back", "%s: was %s, then %s", id, j.told, state)
 	}
+	if state == wire.JobFailed && !o.mayFail(j) {
+		o.breaks("failed", "%s: failures %v", id, j.failed)
+	}
 	if state == wire.JobCancelled && !j.asked && !o.mayFall(id) {
 		o.breaks("went_back", "%s: cancelled without its user", id)
 	}
 	if by := o.fallen(id); (state == wire.JobPending || state == wire.JobRunning) && !by.IsZero() && time.Since(by) > o.set.Cancel() {
 		o.breaks("orphaned", "%s: called %s %v after one that it needs was cancelled", id, state, time.Since(by))
 	}
-	if state == wire.JobDone || state == wire.JobCancelled {
+	if state == wire.JobDone || state == wire.JobCancelled || state == wire.JobFailed {
 		j.told = state
 	}
-	if state == wire.JobCancelled && j.cancelled.IsZero() {
+	if (state == wire.JobCancelled || state == wire.JobFailed) && j.cancelled.IsZero() {
 		j.cancelled = time.Now()
 	}
 }
@@ -129,13 +136,52 @@
 // mayFall tells whether the user of any job that this one needs asked to cancel it.
 func (o *Oracle) mayFall(id string) bool {
 	for _, a := range o.jobs[id].spec.Awaits {
-		if n := o.jobs[a]; n != nil && (n.asked || o.mayFall(a)) {
+		if n := o.jobs[a]; n != nil && (n.asked || o.mayFail(n) || o.mayFall(a)) {
 			return true
 		}
 	}
 	return false
 }
 
+// limit is how many repeats a job's tasks may have.
+func (o *Oracle) limit(s *wire.Spec) (int, bool) {
+	if s.Repeats != nil {
+		return *s.Repeats, true
+	}
+	n, ok := o.Limits[s.Class]
+	return n, ok
+}
+
+// mayFail tells whether a task of a job has failed more often than it may be repeated.
+func (o *Oracle) mayFail(j *truth) bool {
+	limit, ok := o.limit(&j.spec)
+	for _, n := range j.failed {
+		if ok && n > limit {
+			return true
+		}
+	}
+	return false
+}
+
+// Failed notes that a task has failed by itself.
+func (o *Oracle) Failed(ref world.TaskRef) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.jobs[ref.Job].failed[ref.Index]++
+}
+
+// Counted notes that the service has acknowledged a task's failure: it must have spent
+// a repeat.
+func (o *Oracle) Counted(ref world.TaskRef) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	j := o.jobs[ref.Job]
+	j.counted[ref.Index]++
+	if limit, ok := o.limit(&j.spec); ok && j.counted[ref.Index] > limit+1 {
+		o.breaks("repeats", "%s failed %d times, %d repeats allowed", ref, j.counted[ref.Index], limit)
+	}
+}
+
 // Cancelling notes that a user asks to cancel.
 func (o *Oracle) Cancelling(id string) {
 	o.mu.Lock()
@@ -273,6 +319,21 @@
 	return out
 }
 
+// Ended counts the jobs that were told to be over by how, and those of them that were
+// done though a task had failed before.
+func (o *Oracle) Ended() (ended map[string]int, repeated int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	ended = map[string]int{}
+	for _, j := range o.jobs {
+		ended[j.told]++
+		if j.told == wire.JobDone && len(j.failed) > 0 {
+			repeated++
+		}
+	}
+	return ended, repeated
+}
+
 // Accepted tells whether all these jobs were accepted.
 func (o *Oracle) Accepted(ids []string) bool {
 	o.mu.Lock()
--- a/internal/standin/region.go
+++ b/internal/standin/region.go
@@ -100,6 +100,8 @@
 	State  *State
 	Oracle *Oracle
 	Log    *slog.Logger
+	// Classes are the operators' limits of repeats, as every node that starts reads them.
+	Classes []config.Class
 
 	ctx   context.Context
 	wg    sync.WaitGroup
@@ -116,6 +118,7 @@
 	workers  map[string]*worker
 	saved    map[world.TaskRef]bool
 	runS     map[string]float64
+	faults   map[world.TaskRef]int // failures that tasks still have before them
 }
 
 type rented struct {
@@ -137,7 +140,7 @@
 	r := &Region{Set: set, Net: NewNet(rand.New(rand.NewPCG(rnd.Uint64(), 1))), Oracle: NewOracle(set), Log: log,
 		State: NewState(d.State.RPS, d.State.WriteRPS, d.State.TxnOps, d.State.ValueKB, 600),
 		ctx:   ctx, rnd: rnd, types: types, capacity: map[string]int{}, charters: map[string][]string{},
-		workers: map[string]*worker{}, saved: map[world.TaskRef]bool{}, runS: map[string]float64{}}
+		workers: map[string]*worker{}, saved: map[world.TaskRef]bool{}, runS: map[string]float64{}, faults: map[world.TaskRef]int{}}
 	for _, t := range types {
 		for _, z := range t.Zones {
 			for _, spot := range []bool{true, false} {
@@ -173,6 +176,7 @@
 	if err != nil {
 		panic(err)
 	}
+	op.Classes = r.Classes
 	r.mu.Lock()
 	inc := r.rnd.Uint64N(1<<40) + 1
 	r.mu.Unlock()
@@ -214,6 +218,13 @@
 	r.runS[job] = s
 }
 
+// Fault lets a task fail by itself so many times before it can complete.
+func (r *Region) Fault(ref world.TaskRef, times int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults[ref] = times
+}
+
 func (r *Region) left(ref world.TaskRef, s *wire.Spec) time.Duration {
 	run := r.runS[s.ID]
 	if r.saved[ref] {
--- a/internal/standin/region_test.go
+++ b/internal/standin/region_test.go
@@ -144,16 +144,21 @@
 	return fmt.Sprintf("%d on %s for %v hold=%v", kind, name, d, hold)
 }
 
+// dayLog is where the controllers of a day log to: nowhere, unless STANDIN_LOG is set.
+func dayLog() *slog.Logger {
+	var out io.Writer = io.Discard
+	if os.Getenv("STANDIN_LOG") != "" {
+		out = os.Stderr
+	}
+	return slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.LevelDebug}))
+}
+
 // play runs a day of generated jobs and troubles and gives what broke.
 func play(t *testing.T, seed uint64, troubles int) *Region {
 	rnd := rand.New(rand.NewPCG(seed, 7))
 	start := time.Now()
 	ctx, cancel := context.WithCancel(context.Background())
-	var out io.Writer = io.Discard
-	if os.Getenv("STANDIN_LOG") != "" {
-		out = os.Stderr
-	}
-	log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	log := dayLog()
 	r := NewRegion(ctx, testSettings(0), testTypes, 5, rand.New(rand.NewPCG(seed, 8)), log)
 	for i := range 3 {
 		r.Add(testSettings(i))
--- /dev/null
+++ b/internal/standin/repeats_test.go
@@ -0,0 +1,91 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"sableusher/internal/config"
+	"sableusher/internal/wire"
+	"sableusher/internal/world"
+)
+
+// TestRepeatsUnderTroubles plays generated days on which tasks fail by themselves while
+// nodes end, machines die and links are cut: no failure that was acknowledged goes
+// uncounted, no job is called failed whose tasks had repeats left, whatever awaits a failed one
+// falls, and all others are done.
+func TestRepeatsUnderTroubles(t *testing.T) {
+	failed, repeated := 0, 0
+	for seed := range uint64(3) {
+		synctest.Test(t, func(t *testing.T) {
+			r := failures(seed)
+			if len(r.Oracle.Broken)+len(r.State.Broken) > 0 {
+				t.Errorf("seed %d, broken rules:\n%s", seed, strings.Join(append(r.Oracle.Broken, r.State.Broken...), "\n"))
+			}
+			if left := r.Oracle.Unfinished(); len(left) > 0 {
+				t.Errorf("seed %d, never finished: %v", seed, left)
+			}
+			ended, again := r.Oracle.Ended()
+			failed += ended[wire.JobFailed]
+			repeated += again
+		})
+	}
+	if failed < 5 || repeated < 5 {
+		t.Errorf("%d jobs failed, %d were done after failures", failed, repeated)
+	}
+}
+
+// failures plays one such day.
+func failures(seed uint64) *Region {
+	rnd := rand.New(rand.NewPCG(seed, 17))
+	ctx, cancel := context.WithCancel(context.Background())
+	r := NewRegion(ctx, testSettings(0), testTypes, 6, rand.New(rand.NewPCG(seed, 18)), dayLog())
+	r.Classes = []config.Class{{Name: "c", Repeats: 2, PauseS: 3, PauseMaxS: 10}}
+	r.Oracle.Limits = map[string]int{"c": 2}
+	for i := range 3 {
+		r.Add(testSettings(i))
+	}
+	for i := range 24 {
+		s := wire.Spec{ID: fmt.Sprintf("run-%06d", i+1), Class: "c", Team: "open", Kind: wire.KindArray, Priority: wire.PriorityNormal,
+			Tasks: 1 + rnd.IntN(6), CPUs: 4, GPUs: 1, MemoryGB: 20, Image: "img", ImageGB: 1, EstimateS: 10}
+		if rnd.IntN(3) == 0 {
+			s.Kind, s.Priority, s.Tasks, s.OneZone = wire.KindGang, wire.PriorityHigh, 1+rnd.IntN(3), true
+		}
+		limit := 2
+		if rnd.IntN(3) == 0 {
+			limit = rnd.IntN(2)
+			s.Repeats = &limit
+		}
+		if i > 0 && rnd.IntN(3) == 0 {
+			s.Awaits = []string{fmt.Sprintf("run-%06d", 1+rnd.IntN(i))}
+		}
+		for range rnd.IntN(3) {
+			r.Fault(world.TaskRef{Job: s.ID, Index: rnd.IntN(s.Tasks)}, 1+rnd.IntN(3))
+		}
+		at := time.Duration(i*5) * time.Second
+		r.wg.Go(func() {
+			time.Sleep(at)
+			r.User(ctx, s, float64(3+len(s.ID)%5), 0)
+		})
+	}
+	time.Sleep(20 * time.Second)
+	for range 8 {
+		time.Sleep(time.Duration(1+rnd.IntN(20)) * time.Second)
+		r.Log.Info("TROUBLE", "what", fault(r, rnd))
+	}
+	for range 120 {
+		time.Sleep(5 * time.Second)
+		if r.Oracle.Accepted([]string{"run-000024"}) && len(r.Oracle.Unfinished()) == 0 {
+			break
+		}
+	}
+	time.Sleep(30 * time.Second)
+	cancel()
+	r.Wait()
+	time.Sleep(3 * time.Minute)
+	return r
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"sableusher/internal/config"
@@ -125,6 +126,13 @@
 			if t.spec.Kind == wire.KindGang {
 				mates = w.r.mates(k)
 			}
+			if i := slices.IndexFunc(mates, func(m mate) bool { return w.r.faults[m.k.ref] > 0 }); i >= 0 {
+				m := mates[i]
+				w.r.faults[m.k.ref]--
+				w.r.Oracle.Failed(m.k.ref)
+				m.w.exit(m.k, m.t, wire.CauseError, false)
+				continue
+			}
 			for _, m := range mates {
 				w.r.Oracle.Completed(m.k.ref)
 				m.w.exit(m.k, m.t, wire.CauseDone, false)
@@ -151,6 +159,9 @@
 		t := w.tasks[k]
 		switch {
 		case o.Op == wire.OpForget && t != nil && t.State == wire.TaskExited:
+			if t.Cause == wire.CauseError {
+				w.r.Oracle.Counted(k.ref)
+			}
 			delete(w.tasks, k)
 		case o.Op == wire.OpStop && t != nil && t.State != wire.TaskExited:
 			grace := 0.0
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -87,6 +87,9 @@
 	// LikelyTaskBytes is what a task of an array takes as a rule: tasks on the same
 	// machine stand together. A record in which they do not takes fewer at a time.
 	LikelyTaskBytes = 20
+	// FailureBytes is what a counted failure takes in a record, as JSON: the task's
+	// number and the count.
+	FailureBytes = 12
 	// MoveRound bounds the old records that one round moves, MoveGap paces them
 	// where nothing waits for them, so that acceptance keeps its room.
 	MoveRound = 4
@@ -238,14 +241,16 @@
 // Forms of records and pipelines.
 const (
 	// Level is the newest form of records that this version reads and, once all
-	// nodes do, writes: 2 is cancellations that are told once no task is left, 1
-	// pipelines and split records, 0 what came before.
-	Level = 2
+	// nodes do, writes: 3 is counted failures, 2 cancellations that are told once no task
+	// is left, 1 pipelines and split records, 0 what came before.
+	Level = 3
 	// LevelPipelines is the first one with jobs that await others.
 	LevelPipelines = 1
 	// LevelCertain is the first one at which every node tells a cancellation only once
 	// no task of the job is left, so that leases may be renewed through a cut.
 	LevelCertain = 2
+	// LevelRepeats is the first one that counts the failures of tasks in jobs' records.
+	LevelRepeats = 3
 	// OutcomeRetry is the pause before a final record that was not there, or could
 	// not be read, is asked for again.
 	OutcomeRetry = 300 * time.Millisecond
@@ -306,6 +311,13 @@
 	// JobBackoff and JobBackoffMax pace the restarts of a task that fails on several machines.
 	JobBackoff    = 2 * time.Second
 	JobBackoffMax = 60 * time.Second
+	// MaxRepeats is the most that a class may allow: beyond it a task that fails for good
+	// would take machines for days.
+	MaxRepeats = 1000
+	// MaxPauseS is the longest pause between repeats, in seconds.
+	MaxPauseS = 86400
+	// MaxClasses bounds the classes of the operators' file.
+	MaxClasses = 256
 	// RefusedPause is how long a record is left alone that the state service refused
 	// as malformed, which it does with one over a limit that came early.
 	RefusedPause = 2 * time.Second
--- a/internal/wire/users.go
+++ b/internal/wire/users.go
@@ -46,6 +46,9 @@
 	JobRunning   = "running"
 	JobDone      = "done"
 	JobCancelled = "cancelled"
+	// JobFailed: a task has failed more often than its class, or its user, allows. It is
+	// told only where operators limit repeats.
+	JobFailed = "failed"
 )
 
 // Spec is a job as its user described it; checked by DecodeSpec.
@@ -73,6 +76,9 @@
 	// Awaits names the jobs that have to be done before any task of this one
 	// starts. It is part of LevelPipelines: an older version would lose it.
 	Awaits []string `cbor:"awaits,omitempty"`
+	// Repeats is how often a task may start again after a failure of its own; nil: without
+	// end. It is part of LevelRepeats, fixed when the job is accepted.
+	Repeats *int `cbor:"repeats,omitempty"`
 }
 
 // submission has every field as a pointer, to tell missing from zero.
@@ -218,6 +224,26 @@
 	return s, nil
 }
 
+// DecodeRepeats reads how many repeats a submission asks for; nil if it doesn't. The
+// field is looked at only where operators limit repeats: elsewhere it is one of the
+// unknown ones, which are passed over.
+func DecodeRepeats(b []byte) (*int, error) {
+	var in struct {
+		Repeats *int64 `cbor:"repeats"`
+	}
+	if err := strict.Unmarshal(b, &in); err != nil {
+		return nil, fmt.Errorf("malformed: %w", err)
+	}
+	if in.Repeats == nil {
+		return nil, nil
+	}
+	if *in.Repeats < 0 || *in.Repeats > tuning.MaxRepeats {
+		return nil, errors.New("field repeats: out of range")
+	}
+	n := int(*in.Repeats)
+	return &n, nil
+}
+
 // Accepted answers a submission or cancellation.
 type Accepted struct {
 	ID     string `cbor:"id"`
--- a/internal/world/layout.go
+++ b/internal/world/layout.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 
 	"sableusher/internal/tuning"
@@ -31,7 +32,7 @@
 	at := map[Task]int{}
 	for _, t := range tasks {
 		like := t
-		like.Index = 0
+		like.Index, like.Failures = 0, 0
 		g, ok := at[like]
 		if !ok {
 			g = len(out)
@@ -155,22 +156,49 @@
 func (r *JobRecord) encode(k int, tasks []Task) wire.Op {
 	fine := r.Width > 0 && k < r.fine()
 	var v any
+	failures := countFailures(tasks)
 	switch {
 	case k == 0:
 		rec := *r
-		rec.Tasks, rec.Groups = tasks, nil
+		rec.Tasks, rec.Groups, rec.Failures = tasks, nil, failures
 		if fine {
 			rec.Tasks, rec.Groups = nil, group(tasks)
 		}
 		v = rec
 	case fine:
-		v = FineRecord{group(tasks)}
+		v = FineRecord{group(tasks), failures}
 	default:
-		v = ChunkRecord{tasks}
+		v = ChunkRecord{tasks, failures}
 	}
 	return wire.Op{Set: r.Key(k), Value: wire.MustEncode(v)}
 }
 
+// countFailures gives the failures of tasks as their record holds them.
+func countFailures(tasks []Task) []int {
+	var out []int
+	for _, t := range tasks {
+		if t.Failures > 0 {
+			out = append(out, t.Index, t.Failures)
+		}
+	}
+	return out
+}
+
+// withFailures gives tasks the failures that stand beside them in their record.
+func withFailures(tasks []Task, failures []int) []Task {
+	if len(failures) == 0 {
+		return tasks
+	}
+	count := map[int]int{}
+	for pair := range slices.Chunk(failures, 2) {
+		count[pair[0]] = pair[len(pair)-1]
+	}
+	for i := range tasks {
+		tasks[i].Failures = count[tasks[i].Index]
+	}
+	return tasks
+}
+
 // tasks lists the tasks of a record that were ever bound, with changes.
 func (j *Job) tasks(lo, hi int, change map[int]Task) []Task {
 	var out []Task
@@ -227,7 +255,10 @@
 func BareSize(rec JobRecord) int {
 	// What is not there yet may come.
 	rec.CancelMs, rec.Yield, rec.Width, rec.Wide, rec.Tasks, rec.Groups = max(rec.AtMs, 1), tuning.MaxTasks, tuning.ChunkTasks, tuning.MaxTasks, nil, nil
-	rec.Certain = true
+	rec.Certain, rec.Failures = true, nil
+	if rec.Spec.Repeats != nil {
+		rec.Failed, rec.Failures = true, []int{0, 1}
+	}
 	return wire.JSONSize(wire.MustEncode(rec))
 }
 
@@ -235,10 +266,18 @@
 func (j *Job) Size(k int, change map[int]Task) int {
 	lo, hi := j.Span(k)
 	size := 8
+	if j.Spec.Repeats != nil {
+		size += len(`,"f":[]`)
+	}
 	if k == 0 {
 		size = j.Bare
 	}
 	tasks := j.tasks(lo, hi, change)
+	for _, t := range tasks {
+		if t.Failures > 0 {
+			size += 4 + digits(t.Index) + digits(t.Failures)
+		}
+	}
 	if j.Width == 0 || k >= j.fine() {
 		for _, t := range tasks {
 			size += 11 + digits(t.Index) + digits(int(t.Attempt)) + len(t.Machine) + digits(int(t.Session)) + digits(t.Charge)
@@ -283,6 +322,7 @@
 	if s.Kind == wire.KindGang {
 		each = f.Task
 	}
+	each += failureBytes(s)
 	for w := tuning.ChunkTasks; w >= tuning.LeastWidth; w /= 2 {
 		if bare+min(w, s.Tasks)*each <= f.Room {
 			return w
@@ -294,7 +334,15 @@
 // Holds tells whether old records of a job stay within it whatever becomes of
 // its tasks.
 func (f Fit) Holds(s *wire.Spec, bare int) bool {
-	return bare+min(s.Tasks, tuning.ChunkTasks)*f.Task <= f.Room
+	return bare+min(s.Tasks, tuning.ChunkTasks)*(f.Task+failureBytes(s)) <= f.Room
+}
+
+// failureBytes is what a task of a job may take in its record beside its own state.
+func failureBytes(s *wire.Spec) int {
+	if s.Repeats == nil {
+		return 0
+	}
+	return tuning.FailureBytes
 }
 
 // Outgrows tells whether an old record of the job may come to take more than it
--- a/internal/world/layout_test.go
+++ b/internal/world/layout_test.go
@@ -78,6 +78,9 @@
 		fit := Fit{rapid.IntRange(900, 16000).Draw(t, "room"), tuning.TaskBytes}
 		spec := wire.Spec{ID: "run-7", Class: "c", Team: "t", Kind: rapid.SampledFrom([]string{wire.KindArray, wire.KindGang}).Draw(t, "kind"),
 			Priority: wire.PriorityNormal, Tasks: rapid.IntRange(1, 600).Draw(t, "tasks"), GPUs: 1}
+		if rapid.Bool().Draw(t, "counted") {
+			spec.Repeats = new(int)
+		}
 		s.commit(t, nil, []wire.Op{{Set: JobKey(spec.ID), Value: wire.MustEncode(JobRecord{Spec: spec, AtMs: 1764600000000})}})
 		model := map[int]Task{}
 		type write struct {
@@ -96,6 +99,9 @@
 				for range rapid.IntRange(1, 12).Draw(t, "changed") {
 					i := rapid.IntRange(lo, hi-1).Draw(t, "task")
 					k := Task{Index: i, State: rapid.IntRange(Idle, Done).Draw(t, "state"), Attempt: uint64(rapid.IntRange(1, 3).Draw(t, "attempt"))}
+					if spec.Repeats != nil && k.State != Done {
+						k.Failures = rapid.IntRange(0, 12).Draw(t, "failures")
+					}
 					if k.State == Bound {
 						k.Machine, k.Session = fmt.Sprintf("vm-%06d", rapid.IntRange(0, 5).Draw(t, "machine")), 1
 					}
@@ -137,7 +143,7 @@
 			}
 			for _, w := range []*World{s.view, s.again(t)} {
 				j := w.Jobs[spec.ID]
-				bound, done := 0, 0
+				bound, done, failing := 0, 0, 0
 				for i := range spec.Tasks {
 					want, ok := model[i]
 					if !ok {
@@ -146,6 +152,12 @@
 					if got := j.Task(i); got != want {
 						t.Fatalf("task %d is %+v, want %+v (width %d, wide %d)", i, got, want, j.Width, j.Wide)
 					}
+					if want.State == Idle && want.Failures > 0 {
+						failing++
+						if j.Failing[i].Failures != want.Failures {
+							t.Fatalf("task %d waits to be repeated after %d failures, known as %+v", i, want.Failures, j.Failing[i])
+						}
+					}
 					switch want.State {
 					case Bound:
 						bound++
@@ -153,6 +165,9 @@
 						done++
 					}
 				}
+				if len(j.Failing) != failing {
+					t.Fatalf("%d tasks wait to be repeated, want %d", len(j.Failing), failing)
+				}
 				if j.Bound != bound || j.Done != done {
 					t.Fatalf("%d bound, %d done, want %d and %d", j.Bound, j.Done, bound, done)
 				}
@@ -206,6 +221,35 @@
 	}
 }
 
+// TestCountedRecordsFit: where every task of a job waits to be repeated, its records still
+// have room for a task to be bound again: else the job would stand still for ever.
+func TestCountedRecordsFit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.SampledFrom([]float64{2048, 8192, 16384}).Draw(t, "limit")
+		room := int(limit * tuning.JSONShare)
+		repeats := tuning.MaxRepeats
+		spec := wire.Spec{ID: "run-00000000000000000001", Class: "c", Team: "t", Kind: rapid.SampledFrom([]string{wire.KindArray, wire.KindGang}).Draw(t, "kind"),
+			Priority: wire.PriorityNormal, Tasks: rapid.IntRange(1, 3000).Draw(t, "tasks"), GPUs: 1, Repeats: &repeats}
+		rec := JobRecord{Spec: spec, AtMs: 1764600000000}
+		bare, fit := BareSize(rec), Fit{room, tuning.TaskBytes}
+		if !fit.Holds(&spec, bare) {
+			if rec.Width = fit.Width(&spec, bare); rec.Width == 0 {
+				t.Fatal("no width")
+			}
+		}
+		j := &Job{JobRecord: rec, Known: true, Bare: bare}
+		lo, hi := j.Span(rapid.IntRange(0, j.Records()-1).Draw(t, "record"))
+		change := map[int]Task{}
+		for i := lo; i < hi; i++ {
+			change[i] = Task{Index: i, Attempt: 999, Failures: repeats}
+		}
+		change[lo] = Task{Index: lo, State: Bound, Attempt: 1000, Machine: "vm-000000000", Session: 99, Charge: 3, Failures: repeats}
+		if n := wire.JSONSize(j.Encode(j.RecordOf(lo), change).Value); n > room {
+			t.Errorf("width %d: a record takes %d bytes of %d", rec.Width, n, room)
+		}
+	})
+}
+
 // TestGroupsRefuseNonsense: a record with numbers out of range is unreadable, not a
 // way to fill the memory.
 func TestGroupsRefuseNonsense(t *testing.T) {
--- a/internal/world/records.go
+++ b/internal/world/records.go
@@ -78,6 +78,9 @@
 	// Charge is one more than the part whose grant the task uses, where that is
 	// not its machine's.
 	Charge int
+	// Failures is how often the task failed by itself, if that is counted and it isn't
+	// done. It stands beside the tasks in their record.
+	Failures int `cbor:"-"`
 }
 
 // TaskRef names a task.
@@ -115,16 +118,23 @@
 	// From LevelCertain on: the cancellation is told once no task is bound. Without it
 	// a cancelled job was, or may have been, told at once.
 	Certain bool `cbor:"c,omitempty"`
+	// From LevelRepeats on. Failures counts those of the record's tasks: a task's number,
+	// its failures, and so on; the service's JSON has no maps by number. Failed marks a
+	// cancelled job that ended itself: a task of it has no repeat left.
+	Failures []int `cbor:"f,omitempty"`
+	Failed   bool  `cbor:"e,omitempty"`
 }
 
 // ChunkRecord is a further chunk of tasks.
 type ChunkRecord struct {
-	Tasks []Task `cbor:"k"`
+	Tasks    []Task `cbor:"k"`
+	Failures []int  `cbor:"f,omitempty"`
 }
 
 // FineRecord holds further tasks of a job with a Width.
 type FineRecord struct {
-	Groups []Group `cbor:"g"`
+	Groups   []Group `cbor:"g"`
+	Failures []int   `cbor:"f,omitempty"`
 }
 
 // LevelRecord is written once all nodes read the records of a level, and only
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -43,6 +43,15 @@
 	Doomed  bool             // a job that it needs is cancelled: it never runs
 	DoomAt  time.Time        // since when this node knows
 	ReadyMs int64            // when the last job that it awaits was done
+
+	// Failing holds the tasks that failed by themselves and wait to be repeated.
+	Failing map[int]Failing
+}
+
+// Failing is a task that waits to be repeated.
+type Failing struct {
+	Failures int
+	At       time.Time // when this node saw the last one, or the record for the first time
 }
 
 // Pending is the number of tasks neither bound nor done.
@@ -51,6 +60,29 @@
 // Cancelled tells whether the job was cancelled.
 func (j *Job) Cancelled() bool { return j.CancelMs != 0 }
 
+// Ending is the final state of a cancelled job: cancelled, or failed if it ended itself.
+func (j *Job) Ending() string {
+	if j.Failed {
+		return wire.JobFailed
+	}
+	return wire.JobCancelled
+}
+
+// repeats keeps in mind whether a task waits to be repeated.
+func (j *Job) repeats(t Task) {
+	if t.State != Idle || t.Failures == 0 {
+		delete(j.Failing, t.Index)
+		return
+	}
+	if j.Failing[t.Index].Failures == t.Failures {
+		return
+	}
+	if j.Failing == nil {
+		j.Failing = map[int]Failing{}
+	}
+	j.Failing[t.Index] = Failing{t.Failures, time.Now()}
+}
+
 // Task gives the durable state of task i.
 func (j *Job) Task(i int) Task {
 	if k := j.RecordOf(i); k < len(j.Chunks) {
@@ -240,20 +272,21 @@
 				w.log.Error("unreadable record", "key", key)
 				return
 			}
-			rec.Tasks, rec.Groups = append(rec.Tasks, tasks...), nil
+			rec.Tasks, rec.Groups = withFailures(append(rec.Tasks, tasks...), rec.Failures), nil
+			rec.Failures = nil
 			w.putJob(rec, stamp)
 		}
 	case strings.HasPrefix(key, chunkKeys):
 		if id, _, ok := parseRecord(key); ok {
 			if rec, ok := decode[ChunkRecord](w, key, v); ok {
-				w.putChunk(id, key, rec.Tasks, stamp)
+				w.putChunk(id, key, withFailures(rec.Tasks, rec.Failures), stamp)
 			}
 		}
 	case strings.HasPrefix(key, fineKeys):
 		if id, _, ok := parseRecord(key); ok {
 			if rec, ok := decode[FineRecord](w, key, v); ok {
 				if tasks, ok := w.ungroup(key, rec.Groups); ok {
-					w.putChunk(id, key, tasks, stamp)
+					w.putChunk(id, key, withFailures(tasks, rec.Failures), stamp)
 				}
 			}
 		}
@@ -458,6 +491,7 @@
 			}
 			w.index(j, old[i], -1)
 		}
+		j.repeats(t)
 		w.index(j, t, 1)
 	}
 }
--- a/internal/world/world_test.go
+++ b/internal/world/world_test.go
@@ -41,7 +41,7 @@
 			case 0:
 				w.Put(JobKey(id), wire.MustEncode(JobRecord{Spec: wire.Spec{ID: id, Team: "t", Tasks: tuning.ChunkTasks + 3, GPUs: 1}, Tasks: tasks(0, 4)}), rev+1)
 			case 1:
-				w.Put(ChunkKey(id, 1), wire.MustEncode(ChunkRecord{tasks(tuning.ChunkTasks, 3)}), rev+1)
+				w.Put(ChunkKey(id, 1), wire.MustEncode(ChunkRecord{Tasks: tasks(tuning.ChunkTasks, 3)}), rev+1)
 			case 2:
 				w.Drop(JobKey(id))
 			case 3:
