Graphs: files in Airflow's words, checked and compiled to native jobs

Change: package graph reads YAML or JSON against a published JSON Schema, gives all faults at once with line and path, expands mapped tasks and groups, renders Jinja strictly, and gives the bodies of native submissions; sableusher graph check and schema; two examples. What makes a job impossible moved from intake to accept, so that both ask the same. Ids of a run's jobs are hashes, so that submitting again names the same jobs.

Guarded against: aliases within themselves (a test took all of the machine's memory before depth was counted), text times a number, statements, functions, other files.

Left: registering, runs and their owner, schedules, the client's protocol; drains.

--- a/cmd/sableusher/main.go
+++ b/cmd/sableusher/main.go
@@ -25,7 +25,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	cmd.AddCommand(serveCommand(), checkCommand(), versionCommand())
+	cmd.AddCommand(serveCommand(), checkCommand(), graphCommand(), versionCommand())
 	return cmd
 }
 
--- /dev/null
+++ b/internal/graph/main_test.go
@@ -0,0 +1,9 @@
+package graph
+
+import (
+	"testing"
+
+	"sableusher/internal/seeded"
+)
+
+func TestMain(m *testing.M) { seeded.Main(m) }
--- /dev/null
+++ b/internal/graph/template.go
@@ -0,0 +1,114 @@
+package graph
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/nikolalohinski/gonja/v2/builtins"
+	gonja "github.com/nikolalohinski/gonja/v2/config"
+	"github.com/nikolalohinski/gonja/v2/exec"
+	"github.com/nikolalohinski/gonja/v2/loaders"
+	"github.com/nikolalohinski/gonja/v2/parser"
+	"github.com/nikolalohinski/gonja/v2/tokens"
+
+	"sableusher/internal/tuning"
+)
+
+// filters are those that templates may use: what depends on nothing but its input, and
+// whose output is not longer than a constant times that.
+var filters = func() *exec.FilterSet {
+	out := map[string]exec.FilterFunction{}
+	for _, name := range []string{"abs", "capitalize", "first", "float", "int", "join", "last", "length", "lower", "max", "min",
+		"replace", "round", "sort", "string", "sum", "title", "trim", "unique", "upper"} {
+		if f, ok := builtins.Filters.Get(name); ok {
+			out[name] = f
+		}
+	}
+	return exec.NewFilterSet(out)
+}()
+
+// environment has expressions, some filters and tests; no statements, so that nothing
+// loops or reads files, and no functions.
+var environment = &exec.Environment{
+	Context: exec.EmptyContext(), Filters: filters, Tests: builtins.Tests,
+	ControlStructures: exec.NewControlStructureSet(map[string]parser.ControlStructureParser{}),
+}
+
+// templated tells whether a text has to be rendered.
+func templated(text string) bool { return strings.Contains(text, "{{") || strings.Contains(text, "{%") }
+
+// render gives a template's text for some names; one that is not there is an error.
+func render(text string, names map[string]any) (out string, err error) {
+	// The library panics on some inputs that no template should have.
+	defer func() {
+		if p := recover(); p != nil {
+			out, err = "", fmt.Errorf("template: %v", p)
+		}
+	}()
+	c := gonja.New()
+	c.StrictUndefined = true
+	for stream := tokens.LexAll(text, c); !stream.End(); stream.Next() {
+		// "x" times a billion is one short expression.
+		if t := stream.Current(); t.Type == tokens.Multiply || t.Type == tokens.Power {
+			return "", fmt.Errorf("template: %s is not allowed", t.Val)
+		}
+	}
+	loader, err := loaders.NewMemoryLoader(map[string]string{"/t": text})
+	if err != nil {
+		return "", fmt.Errorf("template: %w", err)
+	}
+	t, err := exec.NewTemplate("/t", c, loader, environment)
+	if err != nil {
+		return "", fmt.Errorf("template: %w", err)
+	}
+	if out, err = t.ExecuteToString(exec.NewContext(names)); err != nil {
+		return "", fmt.Errorf("template: %w", err)
+	}
+	if len(out) > tuning.GraphText {
+		return "", fmt.Errorf("template: gives more than %d bytes", tuning.GraphText)
+	}
+	return out, nil
+}
+
+// number reads an amount, which may be a template.
+func number(v any, names map[string]any) (float64, error) {
+	switch v := v.(type) {
+	case nil:
+		return 0, nil
+	case float64:
+		return v, nil
+	case string:
+		text, err := render(v, names)
+		if err != nil {
+			return 0, err
+		}
+		n, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+		if err != nil {
+			return 0, fmt.Errorf("%q is no number", text)
+		}
+		return n, nil
+	}
+	return 0, fmt.Errorf("%v is no number", v)
+}
+
+// flag reads a yes or no, which may be a template.
+func flag(v any, names map[string]any) (bool, error) {
+	switch v := v.(type) {
+	case nil:
+		return false, nil
+	case bool:
+		return v, nil
+	case string:
+		text, err := render(v, names)
+		if err != nil {
+			return false, err
+		}
+		b, err := strconv.ParseBool(strings.ToLower(strings.TrimSpace(text)))
+		if err != nil {
+			return false, fmt.Errorf("%q is neither true nor false", text)
+		}
+		return b, nil
+	}
+	return false, fmt.Errorf("%v is neither true nor false", v)
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"log/slog"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -16,6 +15,7 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"sableusher/internal/accept"
 	"sableusher/internal/config"
 	"sableusher/internal/repeats"
 	"sableusher/internal/store"
@@ -153,7 +153,7 @@
 	known := live != nil && live.Known
 	other := known && !sameAwaits(live.Spec.Awaits, spec.Awaits)
 	types, level := len(in.world.Types), in.world.Level
-	why := in.impossible(spec)
+	why := accept.Impossible(spec, in.teams, in.world.Types)
 	limit, over := in.repeats.Limit(spec.Class, asked)
 	if why == "" {
 		why = over
@@ -218,38 +218,6 @@
 	wire.Reply(w, http.StatusOK, wire.Accepted{ID: spec.ID, Status: status.Status})
 }
 
-// impossible says why a job can never run; empty if it can, or if the machine
-// types are not known. Callers hold the world's lock.
-func (in *Intake) impossible(s *wire.Spec) string {
-	team, ok := in.teams[s.Team]
-	if !ok {
-		return "unknown team"
-	}
-	need := world.Need(s)
-	n := float64(s.Tasks)
-	if s.Kind == wire.KindArray {
-		n = 1
-	}
-	if team.CPUsMax > 0 && n*need.CPUs > team.CPUsMax+1e-6 || team.GPUsMax > 0 && n*need.GPUs > team.GPUsMax+1e-6 {
-		return "more than the team's limit"
-	}
-	if s.OneZone && s.Spread && s.Tasks > 1 {
-		return "one zone and spread exclude each other"
-	}
-	if len(in.world.Types) == 0 {
-		return ""
-	}
-	for name, t := range in.world.Types {
-		if len(s.Types) > 0 && !slices.Contains(s.Types, name) || s.Zone != "" && !slices.Contains(t.Zones, s.Zone) {
-			continue
-		}
-		if need.Within(world.Capacity(&t)) {
-			return ""
-		}
-	}
-	return "a task fits no allowed machine type"
-}
-
 func (in *Intake) poll(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithTimeout(r.Context(), tuning.PollTimeout)
 	defer cancel()
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -511,3 +511,20 @@
 // SizeFractions are the sizes the learner chooses among, from the least to the
 // most that the guards allow.
 var SizeFractions = [...]float64{0, 0.25, 0.5, 0.75, 1}
+
+// Graphs.
+const (
+	// GraphBytes and GraphValues bound a graph's file: ten thousand tasks take about 2 MB,
+	// and aliases may not make more of it than that.
+	GraphBytes  = 4 << 20
+	GraphValues = 1 << 20
+	// GraphDepth is how many values of a file may stand within each other.
+	GraphDepth = 64
+	// GraphTasks is the most tasks that a run may have, mapped ones counted each.
+	GraphTasks = 20_000
+	// GraphAwaits is the most jobs that one of a graph may await: their ids, of 24 bytes
+	// each, stand in its record.
+	GraphAwaits = 48
+	// GraphText is the longest text that a template may give, in bytes.
+	GraphText = 4096
+)
