Gangs: done with the report of one task, also when the others have left before it

After it had completed, one task's worker lost its session before its report came through: that task went back to waiting, and the other's report then ended only what was still bound. One task done, one waiting at the same attempt looks like an attempt that has not left; the job and all that awaited it stood still for ever.

Change: the leader ends a gang of which some tasks are done and none is bound, as gangs complete together.

--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -349,6 +349,33 @@
 	}
 }
 
+// TestGangIsDoneWithOneOfItsTasks: where one task's worker has lost its session after the
+// gang had completed, the other's report tells it of both. The job once waited for ever.
+func TestGangIsDoneWithOneOfItsTasks(t *testing.T) {
+	f := newField(t)
+	f.job(gang(1, 2), world.Task{Index: 0, State: world.Done, Attempt: 1}, world.Task{Index: 1, Attempt: 1})
+	ended := 0
+	for i := range testParts {
+		f.world.RLock()
+		r := f.engines[i].newRound(testNow)
+		r.settle()
+		r.flush()
+		f.world.RUnlock()
+		for _, c := range r.out {
+			if op := c.item.Ops[0]; op.Set == world.FinalKey("run-1") {
+				ended++
+				var rec world.FinalRecord
+				if err := wire.Decode(op.Value, &rec); err != nil || rec.Status != wire.JobDone || rec.Done != 2 {
+					t.Errorf("%+v, %v", rec, err)
+				}
+			}
+		}
+	}
+	if ended != 1 {
+		t.Errorf("ended by %d nodes", ended)
+	}
+}
+
 // TestStartsGoWhereTheImageIs: of machines with room, those that hold the image
 // are taken, also in other nodes' parts, of which hints tell.
 func TestStartsGoWhereTheImageIs(t *testing.T) {
--- a/internal/place/settle.go
+++ b/internal/place/settle.go
@@ -200,6 +200,10 @@
 		if r.busy[key] {
 			continue
 		}
+		if j.Spec.Kind == wire.KindGang && j.Done > 0 && j.Bound == 0 && j.Done < j.Spec.Tasks && j.Known {
+			r.completeGang(j)
+			continue
+		}
 		var ops []wire.Op
 		guard := wire.Guard{Key: key, Stamp: j.Stamp}
 		switch {
@@ -217,6 +221,21 @@
 	}
 }
 
+// completeGang ends the tasks of a gang of which some are done and none is on a machine any
+// more. A gang completes together, so they are done as well: their own reports of it were
+// lost, with a worker's session or its machine, before the first one came through. Such a
+// gang once stood still for ever, since its last attempt looked as if it had not left.
+func (r *round) completeGang(j *world.Job) {
+	for i := range j.Spec.Tasks {
+		if t := r.task(j, i); t.State == world.Idle {
+			if ed := r.edit(j, i); ed != nil {
+				ed.tasks[i] = world.Task{Index: i, State: world.Done, Attempt: t.Attempt}
+			}
+		}
+	}
+	r.log.Info("gang completed by the report of some of its tasks", "job", j.Spec.ID, "done", j.Done, "tasks", j.Spec.Tasks)
+}
+
 // adopt records machines that reported and whose records are missing or behind.
 func (r *round) adopt() {
 	for name, rep := range r.fleet.Adoptions() {
