Graphs: a run's names made once, one reader of templated values

Cause: a reread of the change. Compiling made the names that all templates of a run share anew for each task, and loaded the time zone with them; numbers and flags were read by two copies of one function; faults of the reader went through a field that only its caller used.

--- a/internal/graph/compile.go
+++ b/internal/graph/compile.go
@@ -64,7 +64,7 @@
 		params[name] = v
 	}
 	if n := g.instances(params); n > tuning.GraphTasks {
-		g.fault(&faults, "/tasks", "%s", tooMany(n))
+		g.fault(&faults, "/tasks", "%d tasks with those that are mapped, at most %d", n, tuning.GraphTasks)
 		return nil, faults
 	}
 	up := g.upstream()
@@ -75,6 +75,7 @@
 	var jobs []Job
 	of := map[string][]int{} // a task's jobs
 	held := map[string]bool{}
+	base := g.names(run, params)
 	for _, i := range g.order(up, place) {
 		t := &g.Tasks[i]
 		args := t.Args.over(g.DefaultArgs)
@@ -91,7 +92,8 @@
 		items, mapped := t.items(params), t.Expand != nil
 		for k := range max(1, len(items)) {
 			j := Job{Task: t.ID, Map: -1, Rule: rule, Upstream: before, Held: held[t.ID]}
-			names := g.names(run, t, params)
+			names := maps.Clone(base)
+			names["task"] = map[string]any{"task_id": t.ID}
 			if mapped {
 				j.Map = k
 				names["item"], names["map_index"] = items[k], k
@@ -142,8 +144,8 @@
 	return a
 }
 
-// names are what templates may use.
-func (g *Graph) names(run Run, t *Task, params map[string]any) map[string]any {
+// names are what the templates of all of a run's tasks may use.
+func (g *Graph) names(run Run, params map[string]any) map[string]any {
 	at := run.At
 	if zone, err := g.Zone(); err == nil {
 		at = at.In(zone)
@@ -152,7 +154,7 @@
 		"ds": at.Format(time.DateOnly), "ds_nodash": at.Format("20060102"),
 		"ts": at.Format(time.RFC3339), "ts_nodash": at.Format("20060102T150405"),
 		"logical_date": at.Format(time.RFC3339), "run_id": run.ID, "params": params,
-		"dag": map[string]any{"dag_id": g.ID}, "task": map[string]any{"task_id": t.ID},
+		"dag": map[string]any{"dag_id": g.ID},
 	}
 }
 
--- a/internal/graph/file.go
+++ b/internal/graph/file.go
@@ -143,13 +143,13 @@
 	g := &Graph{file: file, root: doc.Content[0]}
 	r := reader{left: tuning.GraphValues}
 	value := r.value(g.root, "")
+	var faults []Fault
 	for _, f := range r.faults {
-		g.fault(&r.out, f.path, "%s", f.what)
+		g.fault(&faults, f.path, "%s", f.what)
 	}
 	if r.left < 0 {
 		return nil, whole(fmt.Sprintf("more than %d values, or more than %d within each other", tuning.GraphValues, tuning.GraphDepth))
 	}
-	faults := r.out
 	if err := schema().Validate(value); err != nil {
 		var v *jsonschema.ValidationError
 		if !errors.As(err, &v) {
@@ -259,7 +259,6 @@
 	left   int
 	depth  int
 	faults []struct{ path, what string }
-	out    []Fault
 }
 
 func (r *reader) fault(path, what string) {
--- a/internal/graph/structure.go
+++ b/internal/graph/structure.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"github.com/robfig/cron/v3"
-
-	"sableusher/internal/tuning"
 )
 
 // Trigger rules: when a task may start, given how its upstream tasks ended.
@@ -207,8 +205,3 @@
 	}
 	return nil
 }
-
-// tooMany tells of a run with more tasks than one may have.
-func tooMany(n int) string {
-	return fmt.Sprintf("%d tasks with those that are mapped, at most %d", n, tuning.GraphTasks)
-}
--- a/internal/graph/template.go
+++ b/internal/graph/template.go
@@ -73,42 +73,33 @@
 
 // number reads an amount, which may be a template.
 func number(v any, names map[string]any) (float64, error) {
-	switch v := v.(type) {
-	case nil:
-		return 0, nil
-	case float64:
-		return v, nil
-	case string:
-		text, err := render(v, names)
-		if err != nil {
-			return 0, err
-		}
-		n, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
-		if err != nil {
-			return 0, fmt.Errorf("%q is no number", text)
-		}
-		return n, nil
-	}
-	return 0, fmt.Errorf("%v is no number", v)
+	return read(v, names, "no number", func(text string) (float64, error) { return strconv.ParseFloat(text, 64) })
 }
 
 // flag reads a yes or no, which may be a template.
 func flag(v any, names map[string]any) (bool, error) {
+	return read(v, names, "neither true nor false", func(text string) (bool, error) { return strconv.ParseBool(strings.ToLower(text)) })
+}
+
+// read gives a value that a file has as it is, or as a template for its text; its zero if
+// it is left out. not says what a text is that can't be parsed.
+func read[T float64 | bool](v any, names map[string]any, not string, parse func(string) (T, error)) (T, error) {
+	var zero T
 	switch v := v.(type) {
 	case nil:
-		return false, nil
-	case bool:
+		return zero, nil
+	case T:
 		return v, nil
 	case string:
 		text, err := render(v, names)
 		if err != nil {
-			return false, err
+			return zero, err
 		}
-		b, err := strconv.ParseBool(strings.ToLower(strings.TrimSpace(text)))
+		out, err := parse(strings.TrimSpace(text))
 		if err != nil {
-			return false, fmt.Errorf("%q is neither true nor false", text)
+			return zero, fmt.Errorf("%q is %s", text, not)
 		}
-		return b, nil
+		return out, nil
 	}
-	return false, fmt.Errorf("%v is neither true nor false", v)
+	return zero, fmt.Errorf("%v is %s", v, not)
 }
