Preempt: a round asks the fleet once for like needs that nothing yields to

Ruled out: rounds too often (they rest four times their length), garbage (3%), decoding (3%).

Change: parts are asked one by one and only until one has room to make; where another node decides, one such machine suffices; a need that found nothing is remembered for the round, by rank, in the form that needs without room are (fit.Misses).

--- a/internal/fit/stock.go
+++ b/internal/fit/stock.go
@@ -72,6 +72,7 @@
 	moved  []*Node // used by the round before
 
 	ready  []*Node   // by part and name
+	starts []int     // where each part begins among them, and the end
 	open   [][]*Node // those of them, by part, with room for the least that waits
 	coming []*Node
 
@@ -82,16 +83,10 @@
 	bins    []*bin               // machines coming up
 
 	least  world.Amount
-	failed []failure
+	failed Misses
 	looks  int
 }
 
-// failure is a need for which there is no room on any machine it may use.
-type failure struct {
-	need world.Amount
-	spec *wire.Spec
-}
-
 // Renew brings a stock up to date for a round, with the machines of which something
 // changed; nil makes a new one.
 func Renew(s *Stock, v View, changed ...map[string]struct{}) *Stock {
@@ -185,8 +180,9 @@
 
 // list lists the machines by what they are good for.
 func (s *Stock) list() {
-	s.ready, s.coming = s.ready[:0], s.coming[:0]
+	s.ready, s.coming, s.starts = s.ready[:0], s.coming[:0], s.starts[:0]
 	for _, part := range s.byPart {
+		s.starts = append(s.starts, len(s.ready))
 		for _, n := range part {
 			switch n.state {
 			case Ready:
@@ -196,6 +192,7 @@
 			}
 		}
 	}
+	s.starts = append(s.starts, len(s.ready))
 }
 
 // use notes that a round changes what a machine has free or whom it is kept for.
@@ -235,8 +232,8 @@
 	n.Kept, n.Free = job, world.Amount{}
 }
 
-// Ready gives the machines that are up, by part and name; the list is the stock's own.
-func (s *Stock) Ready() []*Node { return s.ready }
+// Ready gives the machines of a part that are up, by name; the list is the stock's own.
+func (s *Stock) Ready(part int) []*Node { return s.ready[s.starts[part]:s.starts[part+1]] }
 
 // Open gives the machines of a part with room for the least that waits; the list is the
 // stock's own.
@@ -279,21 +276,10 @@
 }
 
 // Without tells whether a need has found no room before in this round.
-func (s *Stock) Without(a *Ask) bool {
-	for _, f := range s.failed {
-		if f.need.Within(a.Need) && stricter(a.Spec, f.spec) {
-			return true
-		}
-	}
-	return false
-}
+func (s *Stock) Without(a *Ask) bool { return s.failed.Cover(a) }
 
 // Fail remembers that a need has found no room.
-func (s *Stock) Fail(a *Ask) {
-	if len(s.failed) < tuning.FailedShapes {
-		s.failed = append(s.failed, failure{a.Need, a.Spec})
-	}
-}
+func (s *Stock) Fail(a *Ask) { s.failed.Add(a) }
 
 // Fitting gives the machines that are up with room for a task. The list is good until
 // the next one is asked for.
--- a/internal/place/changes.go
+++ b/internal/place/changes.go
@@ -26,13 +26,15 @@
 	live    []bool         // parts whose owner lives
 	bound   int
 	stock   *fit.Stock
-	pressed bool              // the state service's budget is the bottleneck
-	stops   int               // machines on which room is being freed in this round
-	counts  bool              // this round counts the demand for the pool
-	blocked bool              // a task's end could not be written yet
-	ending  map[string]bool   // jobs that a change of this round ends as failed
-	gangs   map[gangKey]bool  // whether an attempt is broken, looked at once a round
-	pulls   map[string]pulled // what jobs that need others ask of them
+	pressed bool                   // the state service's budget is the bottleneck
+	stops   int                    // machines on which room is being freed in this round
+	counts  bool                   // this round counts the demand for the pool
+	freeing map[world.TaskRef]bool // tasks that room is being freed for
+	rigid   [wire.Ranks]fit.Misses // needs for which nothing could be stopped anywhere, by rank
+	blocked bool                   // a task's end could not be written yet
+	ending  map[string]bool        // jobs that a change of this round ends as failed
+	gangs   map[gangKey]bool       // whether an attempt is broken, looked at once a round
+	pulls   map[string]pulled      // what jobs that need others ask of them
 }
 
 // editKey names one record of a job.
@@ -61,7 +63,10 @@
 func (e *Engine) newRound(now time.Time) *round {
 	r := &round{Engine: e, now: now, tokens: map[int]uint64{}, stamps: map[int]uint64{}, edits: map[editKey]*edit{}, gangs: map[gangKey]bool{}, ending: map[string]bool{},
 		moveM: map[string]world.Amount{}, moveP: map[int]map[string]world.Amount{}, moveJ: map[string]int{},
-		live: make([]bool, e.world.Size)}
+		live: make([]bool, e.world.Size), freeing: make(map[world.TaskRef]bool, len(e.held))}
+	for _, h := range e.held {
+		r.freeing[h.ref] = true
+	}
 	for p := range e.world.Size {
 		_, r.live[p] = e.member.OwnerOf(p)
 		r.moveP[p] = map[string]world.Amount{}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -431,7 +431,9 @@
 	}
 	if (du.assured || du.rank <= wire.Rank(wire.PriorityHigh)) && (!gang || spec.Tasks == 1) {
 		for i := range min(short, tuning.PreemptTasks) {
-			r.preempt(du, i, s, &z)
+			if !r.preempt(du, i, s, &z) {
+				break
+			}
 		}
 	}
 }
--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -11,32 +11,41 @@
 // preempt frees room for a task of higher priority on the machine of this
 // node's parts where the least work is lost. All nodes play this round, but only
 // an owner knows what its tasks would lose: the part is chosen by what all know,
-// the machine by its owner.
-func (r *round) preempt(du *due, i int, s *fit.Stock, z *fit.Zones) {
+// the machine by its owner. It tells whether there is a part where room could be made;
+// once there is none, like needs of the same rank are not looked at again in this round:
+// hundreds of arrays that wait behind a full fleet would each pass all of its machines.
+func (r *round) preempt(du *due, i int, s *fit.Stock, z *fit.Zones) bool {
 	ref := world.TaskRef{Job: du.job.Spec.ID, Index: i}
-	for _, h := range r.held {
-		if h.ref == ref {
-			return // room is being freed for it already
-		}
+	if r.freeing[ref] {
+		return true // room is being freed for it already
 	}
-	if r.stops >= tuning.RoundStops {
-		return
+	if r.stops >= tuning.RoundStops || r.rigid[du.rank].Cover(&du.Ask) {
+		return false
 	}
-	byPart := preempt.Parts(s.Ready(), &du.Ask, du.rank, z, r.world.Size)
 	first := (r.first(du.job) + i) % r.world.Size
-	for k := range byPart {
+	for k := range r.world.Size {
 		p := (first + k) % r.world.Size
-		if len(byPart[p]) == 0 {
+		_, mine := r.tokens[p]
+		most := 1 // that there is one is all that matters where another node decides
+		if mine {
+			most = tuning.PreemptLook
+		}
+		from := preempt.Room(s.Ready(p), &du.Ask, du.rank, z, most)
+		if len(from) == 0 {
 			continue
 		}
-		if _, mine := r.tokens[p]; mine {
-			from := byPart[p][:min(len(byPart[p]), tuning.PreemptLook)]
+		if mine {
 			if best, stop := preempt.Cheapest(du.Need, from, func(n *fit.Node) []preempt.Task { return r.victims(n, du) }); best != nil {
 				r.stop(best, du, ref, stop)
 			}
 		}
-		return
+		return true
+	}
+	// What must stand in certain zones may have missed for that alone.
+	if !du.job.Spec.OneZone && !du.job.Spec.Spread {
+		r.rigid[du.rank].Add(&du.Ask)
 	}
+	return false
 }
 
 // victims gives the tasks on a machine that may be stopped for a job.
@@ -56,6 +65,7 @@
 	r.stops++
 	r.stock.Clear(n, ref.Job)
 	r.held[n.M.Name] = reserve{ref, r.now.Add(tuning.PreemptHold)}
+	r.freeing[ref] = true
 	for _, v := range victims {
 		grace := 0.0
 		if du.rank > 0 && v.Bound.Job.Spec.CheckpointS > 0 {
--- a/internal/preempt/preempt.go
+++ b/internal/preempt/preempt.go
@@ -40,20 +40,24 @@
 	return c.Assured && h.Guaranteed && !h.Assured && h.Team != c.Team && h.Rank == c.Rank
 }
 
-// Parts gives, by part, the machines on which a task would have room once what yields to
-// its rank has left, and has none now.
-func Parts(ready []*fit.Node, a *fit.Ask, rank int, z *fit.Zones, parts int) [][]*fit.Node {
-	out := make([][]*fit.Node, parts)
-	for _, n := range ready {
-		if n.Kept != "" || !fit.Allowed(a.Spec, n.M) || !z.Open(n.M.Zone) {
+// Room gives, up to a number, those of some machines on which a task would have room once
+// what yields to its rank has left, and has none now.
+func Room(from []*fit.Node, a *fit.Ask, rank int, z *fit.Zones, most int) []*fit.Node {
+	var out []*fit.Node
+	for _, n := range from {
+		// What costs least to see is asked first: most machines fall out by it.
+		if n.Kept != "" || a.Need.Within(n.Free) {
 			continue
 		}
 		free := n.Free
 		for r := rank; r < len(n.M.Yield); r++ {
 			free = free.Plus(n.M.Yield[r], 1)
 		}
-		if a.Need.Within(free) && !a.Need.Within(n.Free) {
-			out[n.M.Part] = append(out[n.M.Part], n)
+		if !a.Need.Within(free) || !fit.Allowed(a.Spec, n.M) || !z.Open(n.M.Zone) {
+			continue
+		}
+		if out = append(out, n); len(out) >= most {
+			break
 		}
 	}
 	return out
