Rounds: their gap grows with the fleet, the line moves what time moves

Change: beyond 1,000 machines the shortest gap between rounds grows in proportion, up to 0.4 s; a waiting job is put in line anew when its key changes (it becomes pressing, its aim is out of reach, its guarantee moves) and every 2 s for its estimate; own images every second.

--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -57,6 +57,8 @@
 	// assured holds the jobs within their team's guarantee, as of a time.
 	assured   map[string]bool
 	assuredAt time.Time
+	turns     map[string]time.Time // when time alone next moves a waiting job in line
+	turnedAt  time.Time            // when all of them were last put in line anew
 	valued    map[string]valued
 	seen      *learn.State // what is chosen in, as of a time
 	seenAt    time.Time
@@ -107,7 +109,7 @@
 		set: set, op: op, world: w, member: m, fleet: f, commit: c, quota: quota.New(set.Deployment.Teams, w), repeats: repeats.New(op.Classes), log: log,
 		busy: map[string]bool{}, moving: map[uint64]*change{}, backoff: map[string]retry{}, waits: map[string]wait{}, look: map[string]struct{}{}, valued: map[string]valued{},
 		forming: map[string]time.Time{}, told: map[string]time.Time{}, held: map[string]reserve{}, owned: map[int]time.Time{}, gone: map[string]bool{}, buried: map[string]time.Time{},
-		moves: map[string]bool{}, refused: map[string]time.Time{}, fenced: map[int]time.Time{}, reader: reader, peers: peers,
+		turns: map[string]time.Time{}, moves: map[string]bool{}, refused: map[string]time.Time{}, fenced: map[int]time.Time{}, reader: reader, peers: peers,
 		silence: silence.Watch{Rules: silence.Rules{Report: set.Report(), Lease: set.Lease()}},
 		values: values{
 			learner: learn.New(op.LearnRate, op.Discount, op.Exploration, op.ColdPayoffs, m.Inc, log),
@@ -144,11 +146,20 @@
 			return ctx.Err()
 		// Rounds that cost much come less often, so that reports, polls and
 		// sessions keep their share of the processor.
-		case <-time.After(max(tuning.PlaceGap, tuning.PlaceRest*took)):
+		case <-time.After(max(e.gap(), tuning.PlaceRest*took)):
 		}
 	}
 }
 
+// gap is the shortest time between two rounds. A round costs what the fleet is large, so
+// that beyond some size they come less often instead of costing more a second.
+func (e *Engine) gap() time.Duration {
+	e.world.RLock()
+	n := len(e.world.Machines)
+	e.world.RUnlock()
+	return min(max(tuning.PlaceGap, tuning.PlaceGap*time.Duration(n)/tuning.PlaceGapMachines), tuning.PlaceGapMax)
+}
+
 // Hints keeps in mind which images the other nodes' machines hold, until ctx ends.
 // Where peers don't answer, what they last said stands: it is only a hint.
 func (e *Engine) Hints(ctx context.Context) error {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -74,14 +74,20 @@
 }
 
 // queue gives the jobs that wait, in the order of placement. The line is kept: jobs of
-// which something changed are put where they belong, and as time moves deadlines and
-// guarantees, all of them now and then.
+// which something changed are put where they belong, those that time or their team's
+// guarantee moves when it does, and all of them now and then, as estimates move too.
 func (r *round) queue(room bool) []due {
 	news := r.news.Jobs()
 	if r.now.Sub(r.assuredAt) >= tuning.AssuredEvery && (r.line.Len() > 0 || len(news) > 0) {
 		r.guarantees()
+		all := r.now.Sub(r.turnedAt) >= tuning.TurnEvery
+		if all {
+			r.turnedAt = r.now
+		}
 		r.line.Each(func(k order.Key, _ *world.Job) bool {
-			news[k.ID] = struct{}{}
+			if all || k.Assured != r.assured[k.ID] || r.now.After(r.turns[k.ID]) {
+				news[k.ID] = struct{}{}
+			}
 			return true
 		})
 	}
@@ -105,9 +111,11 @@
 	j := r.world.Jobs[id]
 	if j == nil || !j.Startable() || j.Pending() == 0 {
 		r.line.Drop(id)
+		delete(r.turns, id)
 		return
 	}
-	deadline, pressing := r.deadline(j)
+	deadline, pressing, turn := r.deadline(j)
+	r.turns[id] = turn
 	r.line.Put(order.Key{Rank: r.rank(j), Assured: r.assured[id], Pressing: pressing, Deadline: deadline.UnixNano(), Since: j.SinceMs(), ID: id}, j)
 }
 
@@ -182,8 +190,8 @@
 
 // deadline is when a job should be over by what its user or its class's aims
 // say: the next such time that can still be met, else the last. It is pressing
-// when little slack is left.
-func (r *round) deadline(j *world.Job) (time.Time, bool) {
+// when little slack is left. turn is until when that holds, if nothing but time moves.
+func (r *round) deadline(j *world.Job) (by time.Time, pressing bool, turn time.Time) {
 	// A deadline counts from the submission, all else from when the job could start.
 	at, run, aims := j.Since(), r.run(j), r.cutoffs(j)
 	for _, o := range r.set.Deployment.Objectives {
@@ -199,11 +207,19 @@
 	if by := r.pulled(j.Spec.ID).by; !by.IsZero() {
 		aims = append(aims, by)
 	}
+	never := r.now.Add(tuning.NoDeadline)
 	if len(aims) == 0 {
-		return at.Add(tuning.NoDeadline), false
+		return at.Add(tuning.NoDeadline), false, never
 	}
 	by, slack := r.reachable(aims, run)
-	return by, slack >= 0 && slack < max(tuning.DeadlineGuardMin, time.Duration(tuning.DeadlineGuard*float64(run)))
+	switch guard := max(tuning.DeadlineGuardMin, time.Duration(tuning.DeadlineGuard*float64(run))); {
+	case slack < 0:
+		return by, false, never
+	case slack < guard:
+		return by, true, r.now.Add(slack)
+	default:
+		return by, false, r.now.Add(slack - guard)
+	}
 }
 
 func (r *round) zones(j *world.Job, k int) fit.Zones {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -267,6 +267,11 @@
 const (
 	// PlaceGap is the shortest time between two placement rounds.
 	PlaceGap = 80 * time.Millisecond
+	// PlaceGapMachines is the fleet up to which that holds; beyond it the gap grows in
+	// proportion, so that rounds of a fleet of any size take the same share of a core, and
+	// PlaceGapMax bounds it: a service that is to start within seconds waits for one.
+	PlaceGapMachines = 1000
+	PlaceGapMax      = 400 * time.Millisecond
 	// PlaceIdle is the longest.
 	PlaceIdle = 500 * time.Millisecond
 	// PlaceRest is how many times as long as a round took the next one waits at
@@ -276,10 +281,14 @@
 	// the pool looks at them every PoolTick.
 	DemandEvery = 250 * time.Millisecond
 	// HoldersLife is how long it is kept which of a node's machines hold which images.
-	HoldersLife = 250 * time.Millisecond
+	// What is bound there is known from the records at once; this is about what ran before.
+	HoldersLife = time.Second
 	// AssuredEvery is how often it is looked up anew which jobs lie within their
 	// team's guarantee.
 	AssuredEvery = 250 * time.Millisecond
+	// TurnEvery is how often all waiting jobs are put in line anew: estimates of run times,
+	// by which deadlines become close, move with each task that completes.
+	TurnEvery = 2 * time.Second
 	// SweepEvery is the interval at which all machines of a node are looked at;
 	// between sweeps only those of which something new is known.
 	SweepEvery = time.Second
