Order: as few arrays as possible are late when room is short

Each job by the earliest deadline takes the room that the next needs, and within the guarantee a team's oldest job stays first however late.

Ruled out: room not asked for (rentals come within seconds, then the cloud is out of capacity); the changes of the state service (65 items a second at their peak; machines are full).

What can meet none comes after what can, and after its team's later ones within the guarantee while nothing of it runs.

--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -1,6 +1,6 @@
 // Package order keeps the jobs that wait in the order in which they are given room.
 // The order is the design's: priority first and never crossed, then what lies within
-// its team's guarantee, then what is close to its deadline; among the rest the learned
+// its team's guarantee, then what can still be in time, then what is close to its deadline; among the rest the learned
 // value decides for the first of them, which the caller asks for, else the earliest
 // deadline and arrival.
 //
@@ -18,15 +18,17 @@
 type Key struct {
 	Rank     int   // of its priority, the highest is 0
 	Assured  bool  // within its team's guarantee
+	Late     bool  // past all its aims, or it can meet none with the room there is
 	Pressing bool  // its deadline can still be met, but not for long
 	Deadline int64 // in nanoseconds since 1970
 	Since    int64 // when it could first have started, in milliseconds since 1970
 	ID       string
 }
 
-// Guarded compares what value never crosses: priority, guarantee and danger.
+// Guarded compares what value never crosses: priority, guarantee, what can still be in time
+// before what can't, and danger.
 func (k Key) Guarded(o Key) int {
-	return cmp.Or(cmp.Compare(k.Rank, o.Rank), -compareBool(k.Assured, o.Assured), -compareBool(k.Pressing, o.Pressing))
+	return cmp.Or(cmp.Compare(k.Rank, o.Rank), -compareBool(k.Assured, o.Assured), compareBool(k.Late, o.Late), -compareBool(k.Pressing, o.Pressing))
 }
 
 // Compare compares keys; none of two jobs are equal.
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -1,9 +1,11 @@
 package order
 
 import (
+	"math/bits"
 	"slices"
 	"strconv"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -24,7 +26,7 @@
 				delete(model, id)
 				continue
 			}
-			k := Key{Rank: rapid.IntRange(0, 3).Draw(t, "rank"), Assured: rapid.Bool().Draw(t, "assured"), Pressing: rapid.Bool().Draw(t, "pressing"),
+			k := Key{Rank: rapid.IntRange(0, 3).Draw(t, "rank"), Assured: rapid.Bool().Draw(t, "assured"), Late: rapid.Bool().Draw(t, "late"), Pressing: rapid.Bool().Draw(t, "pressing"),
 				Deadline: rapid.Int64Range(0, 5).Draw(t, "deadline"), Since: rapid.Int64Range(0, 3).Draw(t, "since"), ID: id}
 			l.Put(k, i)
 			model[id] = k
@@ -46,7 +48,7 @@
 func TestGuardsAreNeverCrossed(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		draw := func(id string) Key {
-			return Key{Rank: rapid.IntRange(0, 3).Draw(t, "rank"), Assured: rapid.Bool().Draw(t, "assured"), Pressing: rapid.Bool().Draw(t, "pressing"),
+			return Key{Rank: rapid.IntRange(0, 3).Draw(t, "rank"), Assured: rapid.Bool().Draw(t, "assured"), Late: rapid.Bool().Draw(t, "late"), Pressing: rapid.Bool().Draw(t, "pressing"),
 				Deadline: rapid.Int64().Draw(t, "deadline"), Since: rapid.Int64().Draw(t, "since"), ID: id}
 		}
 		a, b := draw("a"), draw("b")
@@ -60,6 +62,10 @@
 			if first != a.Assured {
 				t.Fatal("a guarantee is crossed")
 			}
+		case a.Late != b.Late:
+			if first != b.Late {
+				t.Fatal("what can't be in time holds up what can")
+			}
 		case a.Pressing != b.Pressing:
 			if first != a.Pressing {
 				t.Fatal("danger is crossed")
@@ -70,3 +76,64 @@
 		}
 	})
 }
+
+// TestReachableAgainstAllChoices: with one aim each, no choice of jobs that could all be in
+// time on the room there is holds more of them; what is found in time is so, served by
+// deadline; and aims only move later.
+func TestReachableAgainstAllChoices(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		backlog := time.Duration(rapid.IntRange(0, 6).Draw(t, "backlog"))
+		var list []Work
+		for i := range rapid.IntRange(1, 9).Draw(t, "jobs") {
+			list = append(list, Work{ID: strconv.Itoa(i), Takes: time.Duration(rapid.IntRange(1, 8).Draw(t, "takes")), Aims: []time.Duration{time.Duration(rapid.IntRange(0, 25).Draw(t, "aim"))}})
+		}
+		fits := func(in func(i int) bool) bool {
+			var chosen []Work
+			for i, w := range list {
+				if in(i) {
+					chosen = append(chosen, w)
+				}
+			}
+			slices.SortFunc(chosen, func(a, b Work) int { return int(a.Aims[0] - b.Aims[0]) })
+			sum := backlog
+			for _, w := range chosen {
+				if sum += w.Takes; sum > w.Aims[0] {
+					return false
+				}
+			}
+			return true
+		}
+		best := 0
+		for set := range 1 << len(list) {
+			if fits(func(i int) bool { return set>>i&1 == 1 }) {
+				best = max(best, bits.OnesCount(uint(set)))
+			}
+		}
+		got, count := Reachable(backlog, list), 0
+		for _, aim := range got {
+			if aim == 0 {
+				count++
+			}
+		}
+		if len(got) != len(list) || count != best || !fits(func(i int) bool { return got[list[i].ID] == 0 }) {
+			t.Fatalf("%d of %v in time on %v, %d could be", count, list, got, best)
+		}
+		// Further aims give nobody up who was in time, and leave nobody with an aim out of reach alone.
+		for i := range list {
+			list[i].Aims = append(list[i].Aims, list[i].Aims[0]+time.Duration(rapid.IntRange(1, 30).Draw(t, "more")))
+		}
+		kept := 0
+		for id, aim := range Reachable(backlog, list) {
+			w := list[slices.IndexFunc(list, func(w Work) bool { return w.ID == id })]
+			if aim >= 0 {
+				kept++
+				if w.Aims[aim] < w.Takes {
+					t.Fatalf("%v is to meet what it can't", w)
+				}
+			}
+		}
+		if kept < count {
+			t.Fatalf("%d with more time, %d with less", kept, count)
+		}
+	})
+}
--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -57,6 +57,8 @@
 	// assured holds the jobs within their team's guarantee, as of a time.
 	assured   map[string]bool
 	assuredAt time.Time
+	missed    map[string]bool      // waiting arrays that can be in time for none of their aims
+	aimed     map[string]time.Time // the aim that each of the others can meet with the room there is
 	turns     map[string]time.Time // when time alone next moves a waiting job in line
 	turnedAt  time.Time            // when all of them were last put in line anew
 	valued    map[string]valued
--- /dev/null
+++ b/internal/place/intime.go
@@ -0,0 +1,88 @@
+package place
+
+import (
+	"time"
+
+	"sableusher/internal/fit"
+	"sableusher/internal/order"
+	"sableusher/internal/wire"
+	"sableusher/internal/world"
+)
+
+// inTime finds which aim each waiting array can meet with the room there is: the room that
+// arrays may use, on machines that are up, serves them one after the other. Gangs and
+// services are not held against it: they come before, and take what they need whole.
+// It reads records and estimates only, so that all nodes find nearly the same.
+func (r *round) inTime() {
+	r.missed, r.aimed = map[string]bool{}, map[string]time.Time{}
+	var lists [wire.Ranks][]order.Work
+	aims := map[string][]time.Time{}
+	var runs [wire.Ranks]float64 // of the machine time that running arrays still take
+	for id, j := range r.world.Jobs {
+		if j.Spec.Kind != wire.KindArray || !j.Startable() {
+			continue
+		}
+		rank, share, run := r.rank(j), r.shareOf(&j.Spec), r.run(j)
+		runs[rank] += float64(j.Bound) * share * run.Seconds() / 2 // half is left on average
+		if j.Pending() == 0 {
+			continue
+		}
+		if aims[id] = r.aims(j); len(aims[id]) == 0 {
+			continue
+		}
+		w := order.Work{ID: id, Takes: time.Duration(float64(j.Pending()) * share * float64(run)), Run: run}
+		for _, at := range aims[id] {
+			w.Aims = append(w.Aims, at.Sub(r.now))
+		}
+		lists[rank] = append(lists[rank], w)
+	}
+	for rank, list := range lists {
+		if len(list) == 0 {
+			continue
+		}
+		room := r.roomFor(rank)
+		if room < 1 {
+			continue // nothing is up: who could be in time can't be told
+		}
+		for i := range list {
+			list[i].Takes = time.Duration(float64(list[i].Takes) / room)
+		}
+		backlog := time.Duration(runs[rank] / room * float64(time.Second))
+		for id, aim := range order.Reachable(backlog, list) {
+			if aim < 0 {
+				r.missed[id] = true
+			} else {
+				r.aimed[id] = aims[id][aim]
+			}
+		}
+	}
+}
+
+// roomFor is the room that work of a rank may use on machines that are up, in machines:
+// what is free and what work of its own rank or below takes.
+func (r *round) roomFor(rank int) float64 {
+	sum := 0.0
+	for p := range r.world.Size {
+		for _, n := range r.stock.Ready(p) {
+			free := n.Free
+			for k := rank; k < len(n.M.Yield); k++ {
+				free = free.Plus(n.M.Yield[k], 1)
+			}
+			sum += fit.Share(free, n.Capacity)
+		}
+	}
+	return sum
+}
+
+// shareOf is what a task takes of a machine, of the type of which it takes least.
+func (r *round) shareOf(s *wire.Spec) float64 {
+	best := 1.0
+	need := world.Need(s)
+	for _, t := range r.world.Types {
+		c := world.Capacity(&t)
+		if need.Within(c) {
+			best = min(best, 1-fit.Share(c.Plus(need, -1), c))
+		}
+	}
+	return best
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -48,7 +48,9 @@
 }
 
 // guarantees finds the jobs that lie within their team's guarantee, together
-// with the team's earlier unfinished jobs.
+// with the team's earlier unfinished jobs. Of a team that has more to do than its guarantee
+// holds, a job that can be in time for nothing any more and of which nothing runs comes
+// last: it would keep the team's own later ones out until they are late as well.
 func (r *round) guarantees() {
 	r.assuredAt, r.assured = r.now, map[string]bool{}
 	teams := map[string][]*world.Job{}
@@ -57,9 +59,15 @@
 			teams[j.Spec.Team] = append(teams[j.Spec.Team], j)
 		}
 	}
+	hopeless := func(j *world.Job) int {
+		if r.missed[j.Spec.ID] && j.Bound == 0 {
+			return 1
+		}
+		return 0
+	}
 	for team, jobs := range teams {
 		slices.SortFunc(jobs, func(a, b *world.Job) int {
-			return cmp.Or(cmp.Compare(a.SinceMs(), b.SinceMs()), cmp.Compare(a.Spec.ID, b.Spec.ID))
+			return cmp.Or(cmp.Compare(hopeless(a), hopeless(b)), cmp.Compare(a.SinceMs(), b.SinceMs()), cmp.Compare(a.Spec.ID, b.Spec.ID))
 		})
 		limit, _ := r.quota.Guarantee(team)
 		var sum world.Amount
@@ -79,13 +87,14 @@
 func (r *round) queue(room bool) []due {
 	news := r.news.Jobs()
 	if r.now.Sub(r.assuredAt) >= tuning.AssuredEvery && (r.line.Len() > 0 || len(news) > 0) {
+		r.inTime()
 		r.guarantees()
 		all := r.now.Sub(r.turnedAt) >= tuning.TurnEvery
 		if all {
 			r.turnedAt = r.now
 		}
 		r.line.Each(func(k order.Key, _ *world.Job) bool {
-			if all || k.Assured != r.assured[k.ID] || r.now.After(r.turns[k.ID]) {
+			if all || k.Assured != r.assured[k.ID] || k.Late != r.missed[k.ID] || r.now.After(r.turns[k.ID]) {
 				news[k.ID] = struct{}{}
 			}
 			return true
@@ -116,7 +125,7 @@
 	}
 	deadline, pressing, turn := r.deadline(j)
 	r.turns[id] = turn
-	r.line.Put(order.Key{Rank: r.rank(j), Assured: r.assured[id], Pressing: pressing, Deadline: deadline.UnixNano(), Since: j.SinceMs(), ID: id}, j)
+	r.line.Put(order.Key{Rank: r.rank(j), Assured: r.assured[id], Late: r.missed[id], Pressing: pressing, Deadline: deadline.UnixNano(), Since: j.SinceMs(), ID: id}, j)
 }
 
 // besides finds what work on GPUs takes of the rest of a machine for each: the
@@ -159,7 +168,7 @@
 }
 
 // cutoffs are a job's own deadline and the multiples of it that its class's aims
-// name, counted from its submission; none without a deadline.
+// name, counted from its submission, the earliest first; none without a deadline.
 func (r *round) cutoffs(j *world.Job) []time.Time {
 	if j.Spec.DeadlineS <= 0 {
 		return nil
@@ -173,13 +182,13 @@
 			out = append(out, after(o.Times))
 		}
 	}
+	slices.SortFunc(out, time.Time.Compare)
 	return out
 }
 
 // reachable gives the first of some times by which a run can still be over, else
 // the last, and the slack that is left.
 func (r *round) reachable(aims []time.Time, run time.Duration) (at time.Time, slack time.Duration) {
-	slices.SortFunc(aims, time.Time.Compare)
 	for _, at = range aims {
 		if slack = at.Sub(r.now) - run; slack >= 0 {
 			break
@@ -188,10 +197,9 @@
 	return at, slack
 }
 
-// deadline is when a job should be over by what its user or its class's aims
-// say: the next such time that can still be met, else the last. It is pressing
-// when little slack is left. turn is until when that holds, if nothing but time moves.
-func (r *round) deadline(j *world.Job) (by time.Time, pressing bool, turn time.Time) {
+// aims are the times by which a job should be over by what its user, its class's aims and
+// the jobs that need it say, the earliest first; none if nobody says any.
+func (r *round) aims(j *world.Job) []time.Time {
 	// A deadline counts from the submission, all else from when the job could start.
 	at, run, aims := j.Since(), r.run(j), r.cutoffs(j)
 	for _, o := range r.set.Deployment.Objectives {
@@ -207,13 +215,26 @@
 	if by := r.pulled(j.Spec.ID).by; !by.IsZero() {
 		aims = append(aims, by)
 	}
-	never := r.now.Add(tuning.NoDeadline)
+	slices.SortFunc(aims, time.Time.Compare)
+	return aims
+}
+
+// deadline is when a job should be over: the next of its aims that can still be met, with
+// the room there is if that was looked at, else the last. It is pressing when little slack is
+// left. turn is until when that holds, if nothing but time moves.
+func (r *round) deadline(j *world.Job) (by time.Time, pressing bool, turn time.Time) {
+	run, aims, never := r.run(j), r.aims(j), r.now.Add(tuning.NoDeadline)
 	if len(aims) == 0 {
-		return at.Add(tuning.NoDeadline), false, never
+		return j.Since().Add(tuning.NoDeadline), false, never
+	}
+	if first, ok := r.aimed[j.Spec.ID]; ok {
+		if i := slices.IndexFunc(aims, func(at time.Time) bool { return !at.Before(first) }); i > 0 {
+			aims = aims[i:]
+		}
 	}
 	by, slack := r.reachable(aims, run)
 	switch guard := max(tuning.DeadlineGuardMin, time.Duration(tuning.DeadlineGuard*float64(run))); {
-	case slack < 0:
+	case slack < 0 || r.missed[j.Spec.ID]:
 		return by, false, never
 	case slack < guard:
 		return by, true, r.now.Add(slack)
@@ -292,7 +313,7 @@
 			// Of work that is in no hurry, first comes what finds its image where
 			// there is room: to fetch it would take the machine's time.
 			for i := range queue[:n] {
-				if du := &queue[i]; r.admit(du, total) && du.rank > wire.Rank(wire.PriorityHigh) && !du.pressing {
+				if du := &queue[i]; r.admit(du, total) && du.rank > wire.Rank(wire.PriorityHigh) && !du.pressing && !du.key.Late {
 					r.deal(du, s, true)
 				}
 			}
