--- a/internal/regress/compare.go
+++ b/internal/regress/compare.go
@@ -27,6 +27,8 @@
 	Seed      *uint64
 	Before    float64 // NaN where there is none
 	Now       float64
+	Spent     float64 // processor time that the day took to play, in seconds
+	Least     string  // who was served least, with the share
 	Verdict   Verdict
 	Why       string // the failure, or the aim that fell most
 	Again     []Pair // further seeds, where the day was repeated
@@ -62,7 +64,10 @@
 }
 
 func compare(record Record, e Entry, d Day, fall float64) Row {
-	r := Row{Site: e.Site, Day: d.Name, Seed: d.Seed, Before: math.NaN(), Now: d.Figure, Verdict: New}
+	r := Row{Site: e.Site, Day: d.Name, Seed: d.Seed, Before: math.NaN(), Now: d.Figure, Spent: d.Spent.Seconds(), Verdict: New}
+	if l, ok := d.Least(); ok {
+		r.Least = fmt.Sprintf("%.2f %s", l.Share, l.Whom)
+	}
 	old, known := record[key{e.Site, d.ID}]
 	if known {
 		r.Before, r.base = old.Figure, old.Entry
@@ -114,7 +119,7 @@
 // Print writes the rows as a table.
 func Print(w io.Writer, rows []Row) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "site\tday\tbefore\tnow\tverdict\twhy")
+	fmt.Fprintln(t, "site\tday\tbefore\tnow\tprocessor s\tserved least\tverdict\twhy")
 	for _, r := range rows {
 		before := "-"
 		if !math.IsNaN(r.Before) {
@@ -124,7 +129,7 @@
 		for _, p := range r.Again {
 			why += fmt.Sprintf("; seed %d %s to %s", p.Seed, figure(p.Before), figure(p.Now))
 		}
-		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\n", r.Site, r.Day, before, figure(r.Now), r.Verdict, why)
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%.0f\t%s\t%s\t%s\n", r.Site, r.Day, before, figure(r.Now), r.Spent, r.Least, r.Verdict, why)
 	}
 	if err := t.Flush(); err != nil {
 		return fmt.Errorf("table: %w", err)
--- a/internal/regress/entry.go
+++ b/internal/regress/entry.go
@@ -4,6 +4,7 @@
 package regress
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -13,6 +14,8 @@
 	"slices"
 	"strconv"
 	"strings"
+
+	"sableusher/internal/tuning"
 )
 
 // Aim is one aim of a day as the bench counted it.
@@ -54,6 +57,51 @@
 	Fault    string         `json:"fault"` // why the day could not be played; empty if it could
 	Restarts float64        `json:"restarts"`
 	Aims     []Aim          `json:"aims"`
+	Spent    Spent          `json:"spent"`
+	Served   []Served       `json:"served"`
+}
+
+// Served is the share of a class's or team's work that was served on a day.
+type Served struct {
+	Whom  string
+	Share float64
+}
+
+// UnmarshalJSON reads the journal's triple of whom, part of all work and share served.
+func (s *Served) UnmarshalJSON(b []byte) error {
+	var part float64
+	triple := []any{&s.Whom, &part, &s.Share}
+	if err := json.Unmarshal(b, &triple); err != nil {
+		return fmt.Errorf("served: %w", err)
+	}
+	if len(triple) != 3 {
+		return fmt.Errorf("served: %d fields, not 3", len(triple))
+	}
+	return nil
+}
+
+// Least is who was served least; nobody on days recorded before the bench told it.
+func (d *Day) Least() (Served, bool) {
+	if len(d.Served) == 0 {
+		return Served{}, false
+	}
+	return slices.MinFunc(d.Served, func(a, b Served) int { return cmp.Compare(a.Share, b.Share) }), true
+}
+
+// Spent is the processor time that a day took to play, in seconds: own code and kernel.
+// Days recorded before the bench told it have none.
+type Spent struct {
+	World     []float64 `json:"world"`
+	Processes []float64 `json:"processes"`
+}
+
+// Seconds is all of it.
+func (s Spent) Seconds() float64 {
+	sum := 0.0
+	for _, x := range slices.Concat(s.World, s.Processes) {
+		sum += x
+	}
+	return sum
 }
 
 // Failed says why a day failed whatever its figure is; empty if it did not.
@@ -66,6 +114,12 @@
 	if d.Fault != "" {
 		why = append(why, d.Fault)
 	}
+	if s := d.Spent.Seconds(); s > tuning.RegressSpent {
+		why = append(why, fmt.Sprintf("took %.0f s of processor time to play, %d are allowed here", s, tuning.RegressSpent))
+	}
+	if l, ok := d.Least(); ok && l.Share < tuning.RegressServed {
+		why = append(why, fmt.Sprintf("only %.2f of %s served", l.Share, l.Whom))
+	}
 	return strings.Join(why, "; ")
 }
 
--- a/internal/regress/regress_test.go
+++ b/internal/regress/regress_test.go
@@ -66,7 +66,7 @@
 		day := &now[e].Days[0]
 		day.Aims = slices.Clone(day.Aims)
 		want, named := Same, ""
-		switch rapid.IntRange(0, 4).Draw(t, "change") {
+		switch rapid.IntRange(0, 6).Draw(t, "change") {
 		case 0:
 			day.Figure -= rapid.Float64Range(0.031, 0.5).Draw(t, "fall")
 			aim := &day.Aims[rapid.IntRange(0, len(day.Aims)-1).Draw(t, "aim")]
@@ -80,6 +80,10 @@
 			day.Fault, want = "too slow", Failed
 		case 4:
 			day.Figure, want = day.Figure+0.04, Better
+		case 5:
+			day.Spent, want, named = Spent{World: []float64{60, 5}, Processes: []float64{240, 1}}, Failed, "took 306 s"
+		case 6:
+			day.Served, want, named = []Served{{"one", 0.99}, {"other", 0.49}}, Failed, "only 0.49 of other"
 		}
 		rows := Compare(record, now, tuning.RegressFall)
 		r := find(rows, *day)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -422,6 +422,11 @@
 	// RegressFall is the largest difference of a day's figure, in points, that
 	// counts as noise.
 	RegressFall = 0.03
+	// RegressSpent is the processor time, in seconds, that a day may take to play: the bench
+	// counts one of over 400 s for nothing, and machines differ by a quarter.
+	RegressSpent = 300
+	// RegressServed is the least share of a class or team that must be served on a day.
+	RegressServed = 0.5
 	// RegressHunt is how many days a full run hunts for broken rules on each site.
 	RegressHunt = 4
 )
