--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -59,6 +59,7 @@
 	assuredAt time.Time
 	missed    map[string]bool      // waiting arrays that can be in time for none of their aims
 	aimed     map[string]time.Time // the aim that each of the others can meet with the room there is
+	aimedAt   time.Time
 	turns     map[string]time.Time // when time alone next moves a waiting job in line
 	turnedAt  time.Time            // when all of them were last put in line anew
 	valued    map[string]valued
--- a/internal/place/intime.go
+++ b/internal/place/intime.go
@@ -14,7 +14,7 @@
 // services are not held against it: they come before, and take what they need whole.
 // It reads records and estimates only, so that all nodes find nearly the same.
 func (r *round) inTime() {
-	r.missed, r.aimed = map[string]bool{}, map[string]time.Time{}
+	r.aimedAt, r.missed, r.aimed = r.now, map[string]bool{}, map[string]time.Time{}
 	var lists [wire.Ranks][]order.Work
 	aims := map[string][]time.Time{}
 	var runs [wire.Ranks]float64 // of the machine time that running arrays still take
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -87,7 +87,9 @@
 func (r *round) queue(room bool) []due {
 	news := r.news.Jobs()
 	if r.now.Sub(r.assuredAt) >= tuning.AssuredEvery && (r.line.Len() > 0 || len(news) > 0) {
-		r.inTime()
+		if r.now.Sub(r.aimedAt) >= tuning.InTimeEvery {
+			r.inTime()
+		}
 		r.guarantees()
 		all := r.now.Sub(r.turnedAt) >= tuning.TurnEvery
 		if all {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -270,7 +270,7 @@
 	// PlaceGapMachines is the fleet up to which that holds; beyond it the gap grows in
 	// proportion, so that rounds of a fleet of any size take the same share of a core, and
 	// PlaceGapMax bounds it: a service that is to start within seconds waits for one.
-	PlaceGapMachines = 1000
+	PlaceGapMachines = 600
 	PlaceGapMax      = 400 * time.Millisecond
 	// PlaceIdle is the longest.
 	PlaceIdle = 500 * time.Millisecond
@@ -286,6 +286,9 @@
 	// AssuredEvery is how often it is looked up anew which jobs lie within their
 	// team's guarantee.
 	AssuredEvery = 250 * time.Millisecond
+	// InTimeEvery is how often it is looked up anew which arrays can be in time: a job that
+	// comes in between is taken to be.
+	InTimeEvery = time.Second
 	// TurnEvery is how often all waiting jobs are put in line anew: estimates of run times,
 	// by which deadlines become close, move with each task that completes.
 	TurnEvery = 2 * time.Second
