--- a/internal/place/intime.go
+++ b/internal/place/intime.go
@@ -48,13 +48,19 @@
 			list[i].Takes = time.Duration(float64(list[i].Takes) / room)
 		}
 		backlog := time.Duration(runs[rank] / room * float64(time.Second))
+		missed, takes := 0, time.Duration(0)
 		for id, aim := range order.Reachable(backlog, list) {
 			if aim < 0 {
 				r.missed[id] = true
+				missed++
 			} else {
 				r.aimed[id] = aims[id][aim]
 			}
 		}
+		for _, w := range list {
+			takes += w.Takes
+		}
+		r.log.Debug("arrays against the room", "rank", rank, "waiting", len(list), "missed", missed, "room", int(room), "busy", backlog, "takes", takes)
 	}
 }
 
