Order: where room is short small arrays go before large ones

Two reasons: those in time end just in time, one after the other; and within a team's guarantee, which 3,300 of the GPUs are always full of, the oldest came first whatever.

Change: where not all arrays of a priority can be in time, they stand by classes of the work left (powers of two), danger and value decide within one. What lay within its team's guarantee when it came keeps it; which further jobs the team's guarantee holds goes by the same order.

--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -19,6 +19,7 @@
 	Rank     int   // of its priority, the highest is 0
 	Assured  bool  // within its team's guarantee
 	Late     bool  // past all its aims, or it can meet none with the room there is
+	Size     int   // class of what it still takes, where room is so short that not all can be in time; else 0
 	Pressing bool  // its deadline can still be met, but not for long
 	Deadline int64 // in nanoseconds since 1970
 	Since    int64 // when it could first have started, in milliseconds since 1970
@@ -26,9 +27,10 @@
 }
 
 // Guarded compares what value never crosses: priority, guarantee, what can still be in time
-// before what can't, and danger.
+// before what can't, where room is short the small before the large, and danger.
 func (k Key) Guarded(o Key) int {
-	return cmp.Or(cmp.Compare(k.Rank, o.Rank), -compareBool(k.Assured, o.Assured), compareBool(k.Late, o.Late), -compareBool(k.Pressing, o.Pressing))
+	return cmp.Or(cmp.Compare(k.Rank, o.Rank), -compareBool(k.Assured, o.Assured), compareBool(k.Late, o.Late),
+		cmp.Compare(k.Size, o.Size), -compareBool(k.Pressing, o.Pressing))
 }
 
 // Compare compares keys; none of two jobs are equal.
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -26,7 +26,7 @@
 				delete(model, id)
 				continue
 			}
-			k := Key{Rank: rapid.IntRange(0, 3).Draw(t, "rank"), Assured: rapid.Bool().Draw(t, "assured"), Late: rapid.Bool().Draw(t, "late"), Pressing: rapid.Bool().Draw(t, "pressing"),
+			k := Key{Rank: rapid.IntRange(0, 3).Draw(t, "rank"), Assured: rapid.Bool().Draw(t, "assured"), Late: rapid.Bool().Draw(t, "late"), Size: rapid.IntRange(0, 2).Draw(t, "size"), Pressing: rapid.Bool().Draw(t, "pressing"),
 				Deadline: rapid.Int64Range(0, 5).Draw(t, "deadline"), Since: rapid.Int64Range(0, 3).Draw(t, "since"), ID: id}
 			l.Put(k, i)
 			model[id] = k
@@ -48,7 +48,7 @@
 func TestGuardsAreNeverCrossed(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		draw := func(id string) Key {
-			return Key{Rank: rapid.IntRange(0, 3).Draw(t, "rank"), Assured: rapid.Bool().Draw(t, "assured"), Late: rapid.Bool().Draw(t, "late"), Pressing: rapid.Bool().Draw(t, "pressing"),
+			return Key{Rank: rapid.IntRange(0, 3).Draw(t, "rank"), Assured: rapid.Bool().Draw(t, "assured"), Late: rapid.Bool().Draw(t, "late"), Size: rapid.IntRange(0, 2).Draw(t, "size"), Pressing: rapid.Bool().Draw(t, "pressing"),
 				Deadline: rapid.Int64().Draw(t, "deadline"), Since: rapid.Int64().Draw(t, "since"), ID: id}
 		}
 		a, b := draw("a"), draw("b")
@@ -66,6 +66,10 @@
 			if first != b.Late {
 				t.Fatal("what can't be in time holds up what can")
 			}
+		case a.Size != b.Size:
+			if first != (a.Size < b.Size) {
+				t.Fatal("a large job holds up a small one")
+			}
 		case a.Pressing != b.Pressing:
 			if first != a.Pressing {
 				t.Fatal("danger is crossed")
--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -57,6 +57,8 @@
 	// assured holds the jobs within their team's guarantee, as of a time.
 	assured   map[string]bool
 	assuredAt time.Time
+	promised  map[string]bool      // whether a job lay within it when this node first saw it
+	short     [wire.Ranks]bool     // not all waiting arrays of a rank can be in time with the room there is
 	missed    map[string]bool      // waiting arrays that can be in time for none of their aims
 	aimed     map[string]time.Time // the aim that each of the others can meet with the room there is
 	aimedAt   time.Time
--- a/internal/place/intime.go
+++ b/internal/place/intime.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"math/bits"
 	"time"
 
 	"sableusher/internal/fit"
@@ -15,6 +16,7 @@
 // It reads records and estimates only, so that all nodes find nearly the same.
 func (r *round) inTime() {
 	r.aimedAt, r.missed, r.aimed = r.now, map[string]bool{}, map[string]time.Time{}
+	r.short = [wire.Ranks]bool{}
 	var lists [wire.Ranks][]order.Work
 	aims := map[string][]time.Time{}
 	var runs [wire.Ranks]float64 // of the machine time that running arrays still take
@@ -53,17 +55,37 @@
 			if aim < 0 {
 				r.missed[id] = true
 				missed++
-			} else {
-				r.aimed[id] = aims[id][aim]
+				continue
 			}
+			r.aimed[id] = aims[id][aim]
+			first, _ := r.reachable(aims[id], r.run(r.world.Jobs[id]))
+			r.short[rank] = r.short[rank] || first.Before(r.aimed[id])
 		}
+		r.short[rank] = r.short[rank] || missed > 0
 		for _, w := range list {
 			takes += w.Takes
 		}
-		r.log.Debug("arrays against the room", "rank", rank, "waiting", len(list), "missed", missed, "room", int(room), "busy", backlog, "takes", takes)
+		r.log.Debug("arrays against the room", "rank", rank, "waiting", len(list), "missed", missed, "short", r.short[rank], "room", int(room), "busy", backlog, "takes", takes)
 	}
 }
 
+// size is the class of what an array still takes, by powers of two, where room is so short
+// that not all arrays can be in time; 0 elsewhere. The large would each hold up many
+// that are over soon: by the smallest first the mean of what all wait is least (Smith,
+// Various optimizers for single-stage production, Naval Research Logistics 3, 1956), and with
+// it the payoff's responsiveness highest. Within a class danger and value decide. The owner's
+// estimate tells the jobs of one class apart, which the class's median can't.
+func (r *round) size(j *world.Job) int {
+	if j.Spec.Kind != wire.KindArray || !r.short[r.rank(j)] {
+		return 0
+	}
+	run := j.Spec.EstimateS
+	if run <= 0 {
+		run = r.run(j).Seconds()
+	}
+	return bits.Len(uint(float64(j.Pending()) * run))
+}
+
 // roomFor is the room that work of a rank may use on machines that are up, in machines:
 // what is free and what work of its own rank or below takes.
 func (r *round) roomFor(rank int) float64 {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -49,35 +49,60 @@
 
 // guarantees finds the jobs that lie within their team's guarantee, together
 // with the team's earlier unfinished jobs. Of a team that has more to do than its guarantee
-// holds, a job that can be in time for nothing any more and of which nothing runs comes
-// last: it would keep the team's own later ones out until they are late as well.
+// holds, those come first that lay within it when they came, or of which something runs: they
+// are what was promised. Which of the others it holds next is open: not what can be in time
+// for nothing any more, and where room is short the smallest, or one large job that is
+// late would keep out the team's later ones until they are late as well.
 func (r *round) guarantees() {
 	r.assuredAt, r.assured = r.now, map[string]bool{}
-	teams := map[string][]*world.Job{}
-	for _, j := range r.world.Jobs {
-		if _, ok := r.quota.Guarantee(j.Spec.Team); ok && j.Startable() {
-			teams[j.Spec.Team] = append(teams[j.Spec.Team], j)
-		}
+	type member struct {
+		job  *world.Job
+		turn int // 0: promised or begun, 1: neither, 2: nor can it be in time for anything
+		size int
 	}
-	hopeless := func(j *world.Job) int {
-		if r.missed[j.Spec.ID] && j.Bound == 0 {
-			return 1
+	teams := map[string][]member{}
+	for id, j := range r.world.Jobs {
+		if _, ok := r.quota.Guarantee(j.Spec.Team); ok && j.Startable() {
+			m := member{job: j}
+			if j.Bound == 0 && !r.promised[id] {
+				m.turn, m.size = 1, r.size(j)
+				if r.missed[id] {
+					m.turn = 2
+				}
+			}
+			teams[j.Spec.Team] = append(teams[j.Spec.Team], m)
 		}
-		return 0
 	}
+	before := r.promised
+	r.promised = make(map[string]bool, len(before))
 	for team, jobs := range teams {
-		slices.SortFunc(jobs, func(a, b *world.Job) int {
-			return cmp.Or(cmp.Compare(hopeless(a), hopeless(b)), cmp.Compare(a.SinceMs(), b.SinceMs()), cmp.Compare(a.Spec.ID, b.Spec.ID))
+		slices.SortFunc(jobs, func(a, b member) int {
+			return cmp.Or(cmp.Compare(a.turn, b.turn), cmp.Compare(a.size, b.size),
+				cmp.Compare(a.job.SinceMs(), b.job.SinceMs()), cmp.Compare(a.job.Spec.ID, b.job.Spec.ID))
 		})
 		limit, _ := r.quota.Guarantee(team)
 		var sum world.Amount
-		for _, j := range jobs {
+		for _, m := range jobs {
+			j, id := m.job, m.job.Spec.ID
 			sum = sum.Plus(world.Need(&j.Spec), float64(j.Spec.Tasks-j.Done))
 			if sum.Mem = 0; !sum.Within(limit) {
 				break
 			}
-			r.assured[j.Spec.ID] = true
+			r.assured[id] = true
+		}
+	}
+	r.promises(before)
+}
+
+// promises finds which jobs lay within their team's guarantee when they came, as of when
+// this node first saw them: after a takeover those that do then.
+func (r *round) promises(before map[string]bool) {
+	for id, j := range r.world.Jobs {
+		if !j.Startable() {
+			continue
 		}
+		kept, known := before[id]
+		r.promised[id] = known && kept || !known && r.assured[id]
 	}
 }
 
@@ -95,8 +120,8 @@
 		if all {
 			r.turnedAt = r.now
 		}
-		r.line.Each(func(k order.Key, _ *world.Job) bool {
-			if all || k.Assured != r.assured[k.ID] || k.Late != r.missed[k.ID] || r.now.After(r.turns[k.ID]) {
+		r.line.Each(func(k order.Key, j *world.Job) bool {
+			if all || k.Assured != r.assured[k.ID] || k.Late != r.missed[k.ID] || k.Size != r.size(j) || r.now.After(r.turns[k.ID]) {
 				news[k.ID] = struct{}{}
 			}
 			return true
@@ -127,7 +152,7 @@
 	}
 	deadline, pressing, turn := r.deadline(j)
 	r.turns[id] = turn
-	r.line.Put(order.Key{Rank: r.rank(j), Assured: r.assured[id], Late: r.missed[id], Pressing: pressing, Deadline: deadline.UnixNano(), Since: j.SinceMs(), ID: id}, j)
+	r.line.Put(order.Key{Rank: r.rank(j), Assured: r.assured[id], Late: r.missed[id], Size: r.size(j), Pressing: pressing, Deadline: deadline.UnixNano(), Since: j.SinceMs(), ID: id}, j)
 }
 
 // besides finds what work on GPUs takes of the rest of a machine for each: the
