--- a/internal/place/intime.go
+++ b/internal/place/intime.go
@@ -83,7 +83,7 @@
 	if run <= 0 {
 		run = r.run(j).Seconds()
 	}
-	return bits.Len(uint(float64(j.Pending()) * run))
+	return 1 + bits.Len(uint(float64(j.Pending())*run))
 }
 
 // roomFor is the room that work of a rank may use on machines that are up, in machines:
