Preempt: arrays that end soon are stopped only for what was promised

Each stop costs a save, a start, a fetch and changes of records, of which 100 a second are all there is.

Ruled out: gangs and services (none of the stops was theirs).

--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -50,7 +50,7 @@
 
 // victims gives the tasks on a machine that may be stopped for a job.
 func (r *round) victims(n *fit.Node, du *due) []preempt.Task {
-	claim := preempt.Claim{Rank: du.rank, Assured: du.assured, Team: du.job.Spec.Team, Need: du.Need}
+	claim := preempt.Claim{Rank: du.rank, Assured: du.assured, Promised: r.promised[du.job.Spec.ID], Team: du.job.Spec.Team, Need: du.Need}
 	var list []preempt.Task
 	for _, b := range n.M.Bound {
 		if claim.Over(r.holder(b.Job)) && !b.Job.Cancelled() && world.Yields(&b.Job.Spec) && !r.fleet.Stopping(b) {
@@ -79,7 +79,8 @@
 // holder is what a running job has to say for itself.
 func (r *round) holder(j *world.Job) preempt.Holder {
 	_, guaranteed := r.quota.Guarantee(j.Spec.Team)
-	return preempt.Holder{Rank: r.rank(j), Assured: r.assured[j.Spec.ID], Guaranteed: guaranteed, Team: j.Spec.Team}
+	return preempt.Holder{Rank: r.rank(j), Assured: r.assured[j.Spec.ID], Guaranteed: guaranteed, Team: j.Spec.Team,
+		Passing: j.Spec.Kind == wire.KindArray && r.run(j) < tuning.Passing}
 }
 
 // cost is the work lost when a task is stopped, in machine seconds.
--- a/internal/preempt/preempt.go
+++ b/internal/preempt/preempt.go
@@ -28,16 +28,20 @@
 	Rank       int
 	Assured    bool
 	Guaranteed bool // its team has a guarantee
+	Passing    bool // its tasks end by themselves before long: their room comes back anyway
 	Team       string
 }
 
 // Over tells whether a holder's tasks may be stopped for the claim: they have a lower
-// priority, or another team borrows with them what the job's team is guaranteed.
+// priority, or another team borrows with them what the job's team is guaranteed. For what
+// was not promised nothing is stopped that ends soon: in a burst that fills all guarantees
+// arrays of all teams once stopped each other 2,500 times on a day, half of them within 4 s
+// of being placed, each for a save, a fetch and three changes of records.
 func (c Claim) Over(h Holder) bool {
 	if h.Rank > c.Rank {
 		return !h.Assured || c.Rank <= wire.Rank(wire.PriorityHigh)
 	}
-	return c.Assured && h.Guaranteed && !h.Assured && h.Team != c.Team && h.Rank == c.Rank
+	return c.Assured && h.Guaranteed && !h.Assured && h.Team != c.Team && h.Rank == c.Rank && (c.Promised || !h.Passing)
 }
 
 // Room gives, up to a number, those of some machines on which a task would have room once
--- a/internal/preempt/preempt_test.go
+++ b/internal/preempt/preempt_test.go
@@ -21,10 +21,10 @@
 	}
 	var sides []side
 	for rank := range wire.Ranks {
-		for bits := range 8 {
+		for bits := range 32 {
 			team, guaranteed := fmt.Sprint("t", bits&1), bits&2 != 0
 			assured := bits&4 != 0 && guaranteed
-			sides = append(sides, side{Claim{Rank: rank, Assured: assured, Team: team}, Holder{Rank: rank, Assured: assured, Guaranteed: guaranteed, Team: team}})
+			sides = append(sides, side{Claim{Rank: rank, Assured: assured, Promised: bits&8 != 0, Team: team}, Holder{Rank: rank, Assured: assured, Guaranteed: guaranteed, Passing: bits&16 != 0, Team: team}})
 		}
 	}
 	over := 0
@@ -40,6 +40,9 @@
 			if ab && b.c.Rank < a.c.Rank {
 				t.Errorf("%+v stops %+v of higher priority", a.c, b.h)
 			}
+			if ab && a.c.Rank == b.c.Rank && b.h.Passing && !a.c.Promised {
+				t.Errorf("%+v, not promised, stops %+v that ends soon", a.c, b.h)
+			}
 			if ab && a.c.Team == b.c.Team && a.c.Rank == b.c.Rank {
 				t.Errorf("%+v stops its team's own %+v", a.c, b.h)
 			}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -333,6 +333,10 @@
 	// RefusedPause is how long a record is left alone that the state service refused
 	// as malformed, which it does with one over a limit that came early.
 	RefusedPause = 2 * time.Second
+	// Passing is the expected run time below which an array's tasks make room by themselves
+	// sooner than a stop pays: that costs a save, a start elsewhere, a fetch and the work
+	// since the last save.
+	Passing = 3 * time.Minute
 	// PreemptHold is how long room freed for a task is kept for it.
 	PreemptHold = 12 * time.Second
 	// GangForm is how long a gang may take to be bound whole before it is withdrawn.
