--- a/internal/preempt/preempt.go
+++ b/internal/preempt/preempt.go
@@ -19,8 +19,11 @@
 type Claim struct {
 	Rank    int  // of its priority; 0 is the highest
 	Assured bool // within its team's guarantee
-	Team    string
-	Need    world.Amount // of each task
+	// Promised: it was within it when it came, so that its team need not wait for others. What
+	// comes to lie within it later, as the team's earlier work ends, has its turn in order.
+	Promised bool
+	Team     string
+	Need     world.Amount // of each task
 }
 
 // Holder is what a running job has to say for itself.
