Order: arrays late for long have every fourth second; the owner's estimate tells sizes

Cause: by classes of size alone a large array that is late for everything waits as long as room is short, be it hours. And the class's median run, by which arrays were set against the room, moved from 10 to 40 s within a minute, as all tasks of a job end at once.

Change: an array late for 5 minutes comes first in every fourth second, the oldest of them before the others; what a job takes is judged by its owner's estimate where there is one.

--- a/internal/place/intime.go
+++ b/internal/place/intime.go
@@ -4,8 +4,10 @@
 	"math/bits"
 	"time"
 
+	"sableusher/internal/config"
 	"sableusher/internal/fit"
 	"sableusher/internal/order"
+	"sableusher/internal/tuning"
 	"sableusher/internal/wire"
 	"sableusher/internal/world"
 )
@@ -24,7 +26,7 @@
 		if j.Spec.Kind != wire.KindArray || !j.Startable() {
 			continue
 		}
-		rank, share, run := r.rank(j), r.shareOf(&j.Spec), r.run(j)
+		rank, share, run := r.rank(j), r.shareOf(&j.Spec), r.expected(j)
 		runs[rank] += float64(j.Bound) * share * run.Seconds() / 2 // half is left on average
 		if j.Pending() == 0 {
 			continue
@@ -58,7 +60,7 @@
 				continue
 			}
 			r.aimed[id] = aims[id][aim]
-			first, _ := r.reachable(aims[id], r.run(r.world.Jobs[id]))
+			first, _ := r.reachable(aims[id], r.expected(r.world.Jobs[id]))
 			r.short[rank] = r.short[rank] || first.Before(r.aimed[id])
 		}
 		r.short[rank] = r.short[rank] || missed > 0
@@ -79,11 +81,25 @@
 	if j.Spec.Kind != wire.KindArray || !r.short[r.rank(j)] {
 		return 0
 	}
-	run := j.Spec.EstimateS
-	if run <= 0 {
-		run = r.run(j).Seconds()
+	if r.floor(j) {
+		return -1
 	}
-	return 1 + bits.Len(uint(float64(j.Pending())*run))
+	return 1 + bits.Len(uint(float64(j.Pending())*r.expected(j).Seconds()))
+}
+
+// expected is how long a task of a job runs as far as its owner knows, else as its class does.
+func (r *round) expected(j *world.Job) time.Duration {
+	if j.Spec.EstimateS > 0 {
+		return config.Seconds(j.Spec.EstimateS)
+	}
+	return r.run(j)
+}
+
+// floor tells whether it is the turn of arrays that have been late for long. Behind what can
+// be in time they would wait as long as room is short, be it for hours; so every fourth
+// second they come first, the oldest of them before the others. All nodes find the same.
+func (r *round) floor(j *world.Job) bool {
+	return r.missed[j.Spec.ID] && r.now.Sub(j.Since()) > tuning.FloorAfter && r.now.Unix()%tuning.FloorTurns == 0
 }
 
 // roomFor is the room that work of a rank may use on machines that are up, in machines:
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -66,7 +66,7 @@
 			m := member{job: j}
 			if j.Bound == 0 && !r.promised[id] {
 				m.turn, m.size = 1, r.size(j)
-				if r.missed[id] {
+				if r.missed[id] && !r.floor(j) {
 					m.turn = 2
 				}
 			}
@@ -121,7 +121,7 @@
 			r.turnedAt = r.now
 		}
 		r.line.Each(func(k order.Key, j *world.Job) bool {
-			if all || k.Assured != r.assured[k.ID] || k.Late != r.missed[k.ID] || k.Size != r.size(j) || r.now.After(r.turns[k.ID]) {
+			if all || k.Assured != r.assured[k.ID] || k.Late != (r.missed[k.ID] && !r.floor(j)) || k.Size != r.size(j) || r.now.After(r.turns[k.ID]) {
 				news[k.ID] = struct{}{}
 			}
 			return true
@@ -152,7 +152,7 @@
 	}
 	deadline, pressing, turn := r.deadline(j)
 	r.turns[id] = turn
-	r.line.Put(order.Key{Rank: r.rank(j), Assured: r.assured[id], Late: r.missed[id], Size: r.size(j), Pressing: pressing, Deadline: deadline.UnixNano(), Since: j.SinceMs(), ID: id}, j)
+	r.line.Put(order.Key{Rank: r.rank(j), Assured: r.assured[id], Late: r.missed[id] && !r.floor(j), Size: r.size(j), Pressing: pressing, Deadline: deadline.UnixNano(), Since: j.SinceMs(), ID: id}, j)
 }
 
 // besides finds what work on GPUs takes of the rest of a machine for each: the
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -289,6 +289,11 @@
 	// InTimeEvery is how often it is looked up anew which arrays can be in time: a job that
 	// comes in between is taken to be.
 	InTimeEvery = time.Second
+	// FloorAfter is how long an array that can't be in time for anything waits before it has
+	// a share of the starts: a few times the longest of its aims as deployments set them.
+	FloorAfter = 5 * time.Minute
+	// FloorTurns is the inverse of that share: each so many seconds one is theirs.
+	FloorTurns = 4
 	// TurnEvery is how often all waiting jobs are put in line anew: estimates of run times,
 	// by which deadlines become close, move with each task that completes.
 	TurnEvery = 2 * time.Second
