Zones: the life of a zone as one pure machine

Need: what a node knew of zones was whether one is cut off, judged anew each second and forgotten: a zone that came and went was given services back each time, and nothing said what it waited for.

Change: package zone takes what was heard and the time and gives the states serving, doubted, cut, lost, returning, with a probation that doubles with each return and is forgiven in time; silence counts, zone judges. Services go to zones that flap only if no other has room. Each change is one log line that says what the state waits for, and a metric.

--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -418,7 +418,9 @@
 	if spec.Kind == wire.KindService {
 		// Its tasks go wherever the image is; the owner of one part places them all.
 		du.home = r.first(j)
+		// A zone that goes and comes back is the last to be trusted with a replica.
 		where, also = s.Fitting(&du.Ask), (*fit.Node).Certain
+		where = r.trusted(where)
 	} else {
 		any := false
 		if du.home, any = r.home(du); !any {
@@ -448,6 +450,16 @@
 	r.bindOwn(du, k, picks)
 }
 
+// trusted gives those of some machines whose zones are trusted with services; all of them
+// if there is none, as a replica in a zone that may go again is better than none.
+func (r *round) trusted(list []*fit.Node) []*fit.Node {
+	good := slices.DeleteFunc(slices.Clone(list), func(n *fit.Node) bool { return !r.silence.Zones().Trusted(n.M.Zone) })
+	if len(good) == 0 {
+		return list
+	}
+	return good
+}
+
 // chunk is the record of a job whose tasks are placed in this round: where the
 // tasks of each record must be spread, the first in which one waits.
 func (r *round) chunk(j *world.Job) int {
--- a/internal/place/silent.go
+++ b/internal/place/silent.go
@@ -6,13 +6,20 @@
 	"slices"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+
 	"sableusher/internal/config"
 	"sableusher/internal/silence"
 	"sableusher/internal/tuning"
 	"sableusher/internal/wire"
 	"sableusher/internal/world"
+	"sableusher/internal/zone"
 )
 
+var zoneState = promauto.NewGaugeVec(prometheus.GaugeOpts{Name: "sableusher_zone_state",
+	Help: "1 for the state of each zone as this node sees it, once it has changed."}, []string{"zone", "state"})
+
 // Peers asks the other nodes which workers they have heard from.
 type Peers interface {
 	Ask(ctx context.Context, machines []string) map[string]string
@@ -35,7 +42,7 @@
 			Mute: s.Mute, Late: r.late(m), Bound: len(m.Bound), Moves: r.movable(m, open), Inside: r.inside(m.Zone)})
 		switch {
 		case !m.Up && s.Heard.IsZero():
-			if r.neverUp(m) && !r.silence.Troubled(r.now, m.Zone) {
+			if r.neverUp(m) && !r.silence.Troubled(m.Zone) {
 				r.giveUp(silence.Victim{Name: name, Why: "never came up"})
 			}
 		case len(m.Bound) == 0 && r.moveM[name] == (world.Amount{}) && s.Errors >= tuning.MachineErrors:
@@ -47,10 +54,12 @@
 			go r.member.Fence(r.ctx, m.Part, true)
 		}
 	}
-	before := r.silence.Cuts()
 	j := r.silence.Judge(r.now, list)
-	if after := r.silence.Cuts(); !slices.Equal(before, after) {
-		r.log.Info("zones that are cut off", "zones", after, "before", before)
+	for _, c := range j.Zones {
+		r.log.Info("zone changes", "zone", c.Zone, "state", c.To, "before", c.From, "after", c.After.Round(time.Second), "waits for", c.Waits)
+		for _, s := range zone.States {
+			zoneState.WithLabelValues(c.Zone, s.String()).Set(map[bool]float64{true: 1}[s == c.To])
+		}
 	}
 	for _, name := range j.Probe {
 		r.fleet.Kick(name)
--- a/internal/silence/silence.go
+++ b/internal/silence/silence.go
@@ -4,8 +4,8 @@
 // have in common: where a whole zone falls silent at once, the zone is cut off, and
 // its machines are left alone until their leases have run out.
 //
-// The package owns what the peers said of silent machines, the pace of deletions and
-// which zones are cut. It only judges: no clock, no network, no records. What it gives
+// The package owns what the peers said of silent machines and the pace of deletions; what
+// becomes of zones is told by package zone from what it counts. It only judges: no clock, no network, no records. What it gives
 // up leaves a machine by the cloud's deletion and nothing else (safety invariant 4), so a
 // wrong judgement costs time or work and never breaks a rule; a machine that holds a
 // task whose cancellation is overdue is given up whatever else speaks for waiting
@@ -20,6 +20,7 @@
 	"time"
 
 	"sableusher/internal/tuning"
+	"sableusher/internal/zone"
 )
 
 // Rules are the deployment's times.
@@ -60,7 +61,7 @@
 // back to us one by one: the first of them must not make the others look dead.
 func (w *Watch) since(m *Machine) time.Time {
 	at := m.Owned
-	for _, t := range []time.Time{m.Heard, w.healed[m.Zone]} {
+	for _, t := range []time.Time{m.Heard, w.zones.Returned(m.Zone)} {
 		if t.After(at) {
 			at = t
 		}
@@ -77,6 +78,7 @@
 	Probe  []string       // to be asked directly
 	Ask    []string       // to be asked for with the peers; the answer goes to Told
 	Give   map[int]string // parts whose workers report to another node
+	Zones  []zone.Change  // zones whose state changed
 }
 
 // word is what the peers said of a silent machine; no node: none has heard it.
@@ -92,21 +94,24 @@
 	deaths []time.Time
 	words  map[string]word
 	asked  time.Time
-	cut    map[string]bool      // zones that are cut off
-	healed map[string]time.Time // zones that were, until when
+	zones  zone.Zones
 }
 
-// Cut tells whether a zone is cut off from this node, as of the last judgement.
-func (w *Watch) Cut(zone string) bool { return w.cut[zone] }
+// Zones are the states of the zones as of the last judgement.
+func (w *Watch) Zones() *zone.Zones { return &w.zones }
+
+// Cut tells whether a zone is cut off from this node, or lost, as of the last judgement.
+func (w *Watch) Cut(name string) bool { return w.zones.Out(name) }
 
 // Troubled tells whether a zone is cut off, or was so lately that its workers may be on
 // their way back.
-func (w *Watch) Troubled(now time.Time, zone string) bool {
-	return w.cut[zone] || now.Sub(w.healed[zone]) < w.Rules.deadAfter()+tuning.FindNode
+func (w *Watch) Troubled(name string) bool {
+	s := w.zones.State(name)
+	return w.zones.Out(name) || s == zone.Returning
 }
 
-// Cuts gives the zones that are cut off.
-func (w *Watch) Cuts() []string { return slices.Sorted(maps.Keys(w.cut)) }
+// Cuts gives the zones that are cut off or lost.
+func (w *Watch) Cuts() []string { return w.zones.Outs() }
 
 // Told takes in which node has heard which of the machines that were asked for.
 func (w *Watch) Told(now time.Time, asked []string, heard map[string]string) {
@@ -115,54 +120,38 @@
 	}
 }
 
-// tally counts the machines that should be heard, and those that are.
-type tally struct{ up, heard int }
-
-func (t tally) silent() bool {
-	return t.up >= tuning.CutMachines && float64(t.heard) < tuning.CutHeard*float64(t.up)
-}
-
-// zones finds the zones that are cut off: of whose machines hardly any was heard
-// within one interval, in which each should have been. Machines that this node took
-// over a moment ago could not be heard yet and say nothing.
-func (w *Watch) zones(now time.Time, list []Machine) (whole tally) {
-	zones := map[string]tally{}
+// look counts, by zone, the machines that should be heard and those that are, and takes the
+// zones' states from it. Machines that this node took over a moment ago could not be heard
+// yet and say nothing.
+func (w *Watch) look(now time.Time, list []Machine) (whole zone.Tally, changed []zone.Change) {
+	heard := map[string]zone.Tally{}
 	for i := range list {
 		m := &list[i]
 		if !m.Up || m.Heard.IsZero() && now.Sub(m.Owned) < times(tuning.CutOwned, w.Rules.Report) {
 			continue
 		}
-		t := zones[m.Zone]
-		t.up++
-		whole.up++
+		t := heard[m.Zone]
+		t.Up++
+		whole.Up++
 		if now.Sub(m.Heard) < w.Rules.Report {
-			t.heard++
-			whole.heard++
-		}
-		zones[m.Zone] = t
-	}
-	cut := map[string]bool{}
-	for z, t := range zones {
-		if t.silent() {
-			cut[z] = true
-		}
-	}
-	for z := range w.cut {
-		if !cut[z] {
-			w.healed[z] = now
+			t.Heard++
+			whole.Heard++
 		}
+		t.Inside = m.Inside
+		heard[m.Zone] = t
 	}
-	w.cut = cut
-	return whole
+	w.zones.Rules = zone.Rules{Lease: w.Rules.Lease, Back: w.Rules.deadAfter() + tuning.FindNode}
+	return whole, w.zones.Look(now, heard)
 }
 
 // Judge looks at all machines of a node.
 func (w *Watch) Judge(now time.Time, list []Machine) Judgement {
 	var j Judgement
 	if w.words == nil {
-		w.words, w.healed = map[string]word{}, map[string]time.Time{}
+		w.words = map[string]word{}
 	}
-	whole := w.zones(now, list)
+	whole, changed := w.look(now, list)
+	j.Zones = changed
 	var silent []*Machine
 	for i := range list {
 		m := &list[i]
@@ -219,8 +208,8 @@
 }
 
 // hears tells whether, beside the zones that are cut, others are heard well.
-func (w *Watch) hears(whole tally) bool {
-	return len(w.cut) > 0 && whole.up >= tuning.CutMachines && float64(whole.heard) >= tuning.CutElsewhere*float64(whole.up)
+func (w *Watch) hears(whole zone.Tally) bool {
+	return len(w.Cuts()) > 0 && whole.Up >= tuning.CutMachines && float64(whole.Heard) >= tuning.CutElsewhere*float64(whole.Up)
 }
 
 // order gives the silent machines that are due to be given up, the most needed first.
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -214,6 +214,14 @@
 	// below which it counts as cut off. Nearly all are heard in it as a rule; in the
 	// largest losses on record a third of a zone fell silent at once.
 	CutHeard = 0.25
+	// DoubtHeard is the share below which a zone is doubted: the log and the metric say so
+	// before it is certain whether its machines die or its links go.
+	DoubtHeard = 0.5
+	// ProbationReturns bounds the returns by which a zone's probation doubles: eight times the
+	// time that its workers need to find back, minutes, is long enough to see it flap again.
+	ProbationReturns = 4
+	// ProbationForgive is how long a zone must serve to be forgiven one return.
+	ProbationForgive = 30 * time.Minute
 	// CutElsewhere is the share of all machines heard meanwhile from which on it is the
 	// zones that are cut off, not this node.
 	CutElsewhere = 0.2
