--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -54,9 +54,10 @@
 	silence silence.Watch
 	fenced  map[int]time.Time
 	given   time.Time // when arrays were last given room
-	// assured holds the jobs within their team's guarantee, as of a time.
+	// assured holds the waiting jobs within their team's guarantee, as of a time.
 	assured   map[string]bool
 	assuredAt time.Time
+	covered   map[string]bool      // the jobs whose running tasks lie within it
 	promised  map[string]bool      // whether a job lay within it when this node first saw it
 	short     [wire.Ranks]bool     // not all waiting arrays of a rank can be in time with the room there is
 	missed    map[string]bool      // waiting arrays that can be in time for none of their aims
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -47,63 +47,71 @@
 	later    bool // nothing of it is bound in this round
 }
 
-// guarantees finds the jobs that lie within their team's guarantee, together
-// with the team's earlier unfinished jobs. Of a team that has more to do than its guarantee
-// holds, those come first that lay within it when they came, or of which something runs: they
-// are what was promised. Which of the others it holds next is open: not what can be in time
-// for nothing any more, and where room is short the smallest, or one large job that is
-// late would keep out the team's later ones until they are late as well.
+// guarantees finds what lies within the teams' guarantees. First come the jobs that did when
+// they came, together with the team's earlier unfinished jobs, which is what was promised.
+// Then what runs of the others, the earliest first: it is covered, so that no other team's
+// work has it stopped. Which of the team's waiting jobs have the rest is open: not what can be
+// in time for nothing any more, and where room is short the smallest. By arrival alone one
+// large job that is late would keep out the team's later ones until they are late as well.
 func (r *round) guarantees() {
-	r.assuredAt, r.assured = r.now, map[string]bool{}
-	type member struct {
-		job  *world.Job
-		turn int // 0: promised or begun, 1: neither, 2: nor can it be in time for anything
-		size int
-	}
-	teams := map[string][]member{}
-	for id, j := range r.world.Jobs {
+	r.assuredAt, r.assured, r.covered = r.now, map[string]bool{}, map[string]bool{}
+	teams := map[string][]*world.Job{}
+	for _, j := range r.world.Jobs {
 		if _, ok := r.quota.Guarantee(j.Spec.Team); ok && j.Startable() {
-			m := member{job: j}
-			if j.Bound == 0 && !r.promised[id] {
-				m.turn, m.size = 1, r.size(j)
-				if r.missed[id] && !r.floor(j) {
-					m.turn = 2
-				}
-			}
-			teams[j.Spec.Team] = append(teams[j.Spec.Team], m)
+			teams[j.Spec.Team] = append(teams[j.Spec.Team], j)
 		}
 	}
 	before := r.promised
 	r.promised = make(map[string]bool, len(before))
 	for team, jobs := range teams {
-		slices.SortFunc(jobs, func(a, b member) int {
-			return cmp.Or(cmp.Compare(a.turn, b.turn), cmp.Compare(a.size, b.size),
-				cmp.Compare(a.job.SinceMs(), b.job.SinceMs()), cmp.Compare(a.job.Spec.ID, b.job.Spec.ID))
+		slices.SortFunc(jobs, func(a, b *world.Job) int {
+			return cmp.Or(cmp.Compare(a.SinceMs(), b.SinceMs()), cmp.Compare(a.Spec.ID, b.Spec.ID))
 		})
 		limit, _ := r.quota.Guarantee(team)
-		var sum world.Amount
-		for _, m := range jobs {
-			j, id := m.job, m.job.Spec.ID
-			sum = sum.Plus(world.Need(&j.Spec), float64(j.Spec.Tasks-j.Done))
-			if sum.Mem = 0; !sum.Within(limit) {
+		fits := func(sum *world.Amount, j *world.Job, tasks int) bool {
+			next := sum.Plus(world.Need(&j.Spec), float64(tasks))
+			next.Mem = 0
+			if !next.Within(limit) {
+				return false
+			}
+			*sum = next
+			return true
+		}
+		var earlier, sum world.Amount
+		full := false
+		var others []*world.Job
+		for _, j := range jobs {
+			id, all := j.Spec.ID, j.Spec.Tasks-j.Done
+			full = full || !fits(&earlier, j, all)
+			kept, known := before[id]
+			if r.promised[id] = kept || !known && !full; r.promised[id] && fits(&sum, j, all) {
+				r.assured[id], r.covered[id] = true, true
+				continue
+			}
+			others = append(others, j)
+		}
+		for _, j := range others {
+			if j.Bound > 0 && !fits(&sum, j, j.Bound) {
+				break
+			}
+			r.covered[j.Spec.ID] = j.Bound > 0
+		}
+		slices.SortStableFunc(others, func(a, b *world.Job) int { return cmp.Compare(r.turn(a), r.turn(b)) })
+		for _, j := range others {
+			if !fits(&sum, j, j.Pending()) {
 				break
 			}
-			r.assured[id] = true
+			r.assured[j.Spec.ID] = j.Bound == 0 || r.covered[j.Spec.ID]
 		}
 	}
-	r.promises(before)
 }
 
-// promises finds which jobs lay within their team's guarantee when they came, as of when
-// this node first saw them: after a takeover those that do then.
-func (r *round) promises(before map[string]bool) {
-	for id, j := range r.world.Jobs {
-		if !j.Startable() {
-			continue
-		}
-		kept, known := before[id]
-		r.promised[id] = known && kept || !known && r.assured[id]
+// turn orders the waiting jobs of a team within what its guarantee has left.
+func (r *round) turn(j *world.Job) int {
+	if r.missed[j.Spec.ID] && !r.floor(j) {
+		return math.MaxInt
 	}
+	return r.size(j)
 }
 
 // queue gives the jobs that wait, in the order of placement. The line is kept: jobs of
--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -79,7 +79,7 @@
 // holder is what a running job has to say for itself.
 func (r *round) holder(j *world.Job) preempt.Holder {
 	_, guaranteed := r.quota.Guarantee(j.Spec.Team)
-	return preempt.Holder{Rank: r.rank(j), Assured: r.assured[j.Spec.ID], Guaranteed: guaranteed, Team: j.Spec.Team,
+	return preempt.Holder{Rank: r.rank(j), Assured: r.covered[j.Spec.ID], Guaranteed: guaranteed, Team: j.Spec.Team,
 		Passing: j.Spec.Kind == wire.KindArray && r.run(j) < tuning.Passing}
 }
 
