--- /dev/null
+++ b/internal/standin/zone_test.go
@@ -0,0 +1,164 @@
+package standin
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"sableusher/internal/wire"
+	"sableusher/internal/zone"
+)
+
+// journal keeps what the controllers of a day log.
+type journal struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (j *journal) Write(b []byte) (int, error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.buf.Write(b)
+}
+
+var zoneLine = regexp.MustCompile(`msg="zone changes" node=(\S+) zone=(\S+) state=(\S+)`)
+
+// zones gives the states that each node has told of each zone, in turn.
+func (j *journal) zones() map[string][]string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	out := map[string][]string{}
+	for lines := bufio.NewScanner(&j.buf); lines.Scan(); {
+		if m := zoneLine.FindStringSubmatch(lines.Text()); m != nil {
+			out[m[1]+" "+m[2]] = append(out[m[1]+" "+m[2]], m[3])
+		}
+	}
+	return out
+}
+
+// running counts the tasks of a class that run.
+func (r *Region) running(class string) (n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, w := range r.workers {
+		for _, t := range w.tasks {
+			if t.spec.Class == class && t.State == wire.TaskRunning {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// TestZonesGoAndComeBack: zones are cut off and dead, one after the other, at once and again and
+// again, in a burst of arrays and with the state service or the cloud away. Nobody does
+// anything: no rule breaks, every job ends exactly once, the services have all their replicas
+// in the end, and every node that saw a zone go sees it serve again.
+func TestZonesGoAndComeBack(t *testing.T) {
+	days := []struct {
+		name    string
+		trouble func(*Region)
+	}{
+		{"flaps", func(r *Region) {
+			for range 4 {
+				r.CutZone("north", true, time.Now().Add(20*time.Second))
+				time.Sleep(50 * time.Second)
+			}
+		}},
+		{"back in an outage", func(r *Region) {
+			r.CutZone("north", false, time.Now().Add(60*time.Second))
+			time.Sleep(50 * time.Second)
+			r.State.Outage(time.Now().Add(25 * time.Second))
+			r.CloudOutage(time.Now().Add(40 * time.Second))
+		}},
+		{"a second one", func(r *Region) {
+			r.CutZone("north", true, time.Now().Add(100*time.Second))
+			time.Sleep(30 * time.Second)
+			r.CutZone("west", false, time.Now().Add(100*time.Second))
+		}},
+		{"dead", func(r *Region) {
+			for m := range r.Sessions("north") {
+				r.Die(m)
+			}
+			time.Sleep(20 * time.Second)
+			r.CloudOutage(time.Now().Add(30 * time.Second))
+		}},
+		{"cut, and a leader ends", func(r *Region) {
+			r.CutZone("north", true, time.Now().Add(130*time.Second))
+			time.Sleep(20 * time.Second)
+			r.Net.Cut(Cut{From: "node-0", To: "*", Hold: true, Until: time.Now().Add(30 * time.Second)})
+		}},
+	}
+	if n, err := strconv.Atoi(os.Getenv("STANDIN_DAYS")); err == nil {
+		days = days[:min(n, len(days))]
+	}
+	for _, d := range days {
+		t.Run(d.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { zoneDay(t, d.trouble) })
+		})
+	}
+}
+
+func zoneDay(t *testing.T, trouble func(*Region)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var logged journal
+	r := NewRegion(ctx, testSettings(0), testTypes[:1], 30, rand.New(rand.NewPCG(5, 8)), slog.New(slog.NewTextHandler(&logged, nil)))
+	for i := range 3 {
+		r.Add(testSettings(i))
+	}
+	rnd := rand.New(rand.NewPCG(5, 7))
+	const services, arrays = 9, 24
+	for i := range services {
+		spec := wire.Spec{ID: fmt.Sprintf("run-%06d", i+1), Class: "s", Team: "open", Kind: wire.KindService, Priority: wire.PriorityProduction,
+			Tasks: 6, CPUs: 16, GPUs: 4, MemoryGB: 80, Image: "img", ImageGB: 1, Spread: true}
+		r.wg.Go(func() { r.User(ctx, spec, 5, 11*time.Minute) })
+	}
+	for i := range arrays {
+		spec := wire.Spec{ID: fmt.Sprintf("run-%06d", services+i+1), Class: "a", Team: []string{"open", "bound"}[i%2], Kind: wire.KindArray, Priority: wire.PriorityNormal,
+			Tasks: 4 + rnd.IntN(20), CPUs: 4, GPUs: 1, MemoryGB: 20, Image: "img", ImageGB: 1, EstimateS: 15, Spot: true}
+		run, at := 5+20*rnd.Float64(), time.Duration(70+rnd.IntN(60))*time.Second
+		r.wg.Go(func() {
+			time.Sleep(at)
+			r.User(ctx, spec, run, 0)
+		})
+	}
+	time.Sleep(75 * time.Second)
+	trouble(r)
+	time.Sleep(5 * time.Minute) // the services still run, all else has had its time
+	if up := r.running("s"); up != 6*services {
+		t.Errorf("%d of %d replicas", up, 6*services)
+	}
+	if left := r.Oracle.Unfinished(); len(left) > services {
+		t.Errorf("never finished: %v", left)
+	}
+	time.Sleep(5 * time.Minute)
+	cancel()
+	r.Wait()
+	time.Sleep(3 * time.Minute)
+	if len(r.Oracle.Broken)+len(r.State.Broken) > 0 {
+		t.Errorf("broken:\n%s\n%s", strings.Join(r.Oracle.Broken, "\n"), strings.Join(r.State.Broken, "\n"))
+	}
+	if left := r.Oracle.Unfinished(); len(left) > 0 {
+		t.Errorf("never finished: %v", left)
+	}
+	told := logged.zones()
+	if len(told) == 0 {
+		t.Error("no node saw a zone go")
+	}
+	for who, states := range told {
+		if last := states[len(states)-1]; last != zone.Serving.String() {
+			t.Errorf("%s ends as %s: %v", who, last, states)
+		}
+	}
+}
