Deal: where room is short an array keeps to one part

Change: where room is short an array is dealt to the part that holds most of its tasks, else to the first of its own order, with or without room there now; others may take it after 5 s.

--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -527,16 +527,26 @@
 // find the same without a word; where views differ, the records' guards decide. any
 // tells whether there is room for a task of it anywhere.
 func (r *round) home(du *due) (part int, any bool) {
-	s, best := r.stock, -1
+	s, best, first := r.stock, -1, r.first(du.job)
+	short := r.short[du.rank] && du.job.Spec.Kind == wire.KindArray
 	for p, n := range du.job.Where {
-		if n > 0 && (best < 0 || n > du.job.Where[best]) && s.Takes(&du.Ask, p) {
+		if n > 0 && (best < 0 || n > du.job.Where[best]) && (short && r.live[p] || s.Takes(&du.Ask, p)) {
 			best = p
 		}
 	}
+	if short {
+		// Its part has room again before long, as all parts have a little at any time. In one
+		// part all of its tasks have one writer: spread over five, their ends would fail
+		// each other's guards and take a change for each.
+		if best < 0 {
+			best = first
+		}
+		_, _, any := s.Rooms(&du.Ask, false, best)
+		return best, any
+	}
 	if best >= 0 {
 		return best, true
 	}
-	first := r.first(du.job)
 	if p, ok, _ := s.Rooms(&du.Ask, true, first); ok {
 		return p, true
 	}
@@ -568,7 +578,11 @@
 	// The parts take turns: at once, all but one would fail for the record's guard.
 	turn := int(r.now.UnixMilli()/tuning.DealHold.Milliseconds()) + r.first(du.job)
 	_, mine := r.tokens[turn%r.world.Size]
-	return mine && r.now.Sub(w.since) > tuning.DealHold
+	hold := tuning.DealHold
+	if r.short[du.rank] && du.job.Spec.Kind == wire.KindArray {
+		hold = tuning.DealHoldShort
+	}
+	return mine && r.now.Sub(w.since) > hold
 }
 
 // bindOwn binds waiting tasks of a job to those of the machines that are this
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -323,6 +323,9 @@
 	BootLateMin = 15 * time.Second
 	// DealHold is how long a task is left to the part it was dealt to before any part may take it.
 	DealHold = 600 * time.Millisecond
+	// DealHoldShort is the same for arrays where room is short: in each part some comes back
+	// several times a second, and a second writer of a record costs more than the wait.
+	DealHoldShort = 5 * time.Second
 	// RoundTasks bounds the tasks bound in one round.
 	RoundTasks = 96
 	// PressedItems is how many changes wait for the state service's budget when
