Floors: who has had least of what is due has a bounded share of starts

Change: package floor counts what arrived of each class and team within five minutes and what of it waits; who had less than 0.65 of it, and less than 0.9 of what all had, comes first in two (classes) and one (teams) of four seconds while room is short; beneath priorities and guarantees.

--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -18,6 +18,7 @@
 type Key struct {
 	Rank     int   // of its priority, the highest is 0
 	Assured  bool  // within its team's guarantee
+	Owed     bool  // its class or its team has had least of what is due, and it is their turn
 	Late     bool  // past all its aims, or it can meet none with the room there is
 	Size     int   // class of what it still takes, where room is so short that not all can be in time; else 0
 	Pressing bool  // its deadline can still be met, but not for long
@@ -26,10 +27,10 @@
 	ID       string
 }
 
-// Guarded compares what value never crosses: priority, guarantee, what can still be in time
-// before what can't, where room is short the small before the large, and danger.
+// Guarded compares what value never crosses: priority, guarantee, whose turn it is for having
+// been served least, what can still be in time before what can't, where room is short the small before the large, and danger.
 func (k Key) Guarded(o Key) int {
-	return cmp.Or(cmp.Compare(k.Rank, o.Rank), -compareBool(k.Assured, o.Assured), compareBool(k.Late, o.Late),
+	return cmp.Or(cmp.Compare(k.Rank, o.Rank), -compareBool(k.Assured, o.Assured), -compareBool(k.Owed, o.Owed), compareBool(k.Late, o.Late),
 		cmp.Compare(k.Size, o.Size), -compareBool(k.Pressing, o.Pressing))
 }
 
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -26,7 +26,7 @@
 				delete(model, id)
 				continue
 			}
-			k := Key{Rank: rapid.IntRange(0, 3).Draw(t, "rank"), Assured: rapid.Bool().Draw(t, "assured"), Late: rapid.Bool().Draw(t, "late"), Size: rapid.IntRange(0, 2).Draw(t, "size"), Pressing: rapid.Bool().Draw(t, "pressing"),
+			k := Key{Rank: rapid.IntRange(0, 3).Draw(t, "rank"), Assured: rapid.Bool().Draw(t, "assured"), Owed: rapid.Bool().Draw(t, "owed"), Late: rapid.Bool().Draw(t, "late"), Size: rapid.IntRange(0, 2).Draw(t, "size"), Pressing: rapid.Bool().Draw(t, "pressing"),
 				Deadline: rapid.Int64Range(0, 5).Draw(t, "deadline"), Since: rapid.Int64Range(0, 3).Draw(t, "since"), ID: id}
 			l.Put(k, i)
 			model[id] = k
@@ -48,7 +48,7 @@
 func TestGuardsAreNeverCrossed(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		draw := func(id string) Key {
-			return Key{Rank: rapid.IntRange(0, 3).Draw(t, "rank"), Assured: rapid.Bool().Draw(t, "assured"), Late: rapid.Bool().Draw(t, "late"), Size: rapid.IntRange(0, 2).Draw(t, "size"), Pressing: rapid.Bool().Draw(t, "pressing"),
+			return Key{Rank: rapid.IntRange(0, 3).Draw(t, "rank"), Assured: rapid.Bool().Draw(t, "assured"), Owed: rapid.Bool().Draw(t, "owed"), Late: rapid.Bool().Draw(t, "late"), Size: rapid.IntRange(0, 2).Draw(t, "size"), Pressing: rapid.Bool().Draw(t, "pressing"),
 				Deadline: rapid.Int64().Draw(t, "deadline"), Since: rapid.Int64().Draw(t, "since"), ID: id}
 		}
 		a, b := draw("a"), draw("b")
@@ -62,6 +62,10 @@
 			if first != a.Assured {
 				t.Fatal("a guarantee is crossed")
 			}
+		case a.Owed != b.Owed:
+			if first != a.Owed {
+				t.Fatal("a turn is crossed")
+			}
 		case a.Late != b.Late:
 			if first != b.Late {
 				t.Fatal("what can't be in time holds up what can")
--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -11,6 +11,7 @@
 	"sableusher/internal/config"
 	"sableusher/internal/fit"
 	"sableusher/internal/fleet"
+	"sableusher/internal/floor"
 	"sableusher/internal/learn"
 	"sableusher/internal/member"
 	"sableusher/internal/order"
@@ -63,6 +64,8 @@
 	missed    map[string]bool      // waiting arrays that can be in time for none of their aims
 	aimed     map[string]time.Time // the aim that each of the others can meet with the room there is
 	aimedAt   time.Time
+	served    floor.Book           // what arrived lately of classes and teams
+	owed      map[floor.Whom]bool  // who of them has had least of what is due
 	turns     map[string]time.Time // when time alone next moves a waiting job in line
 	turnedAt  time.Time            // when all of them were last put in line anew
 	valued    map[string]valued
--- a/internal/place/intime.go
+++ b/internal/place/intime.go
@@ -6,6 +6,7 @@
 
 	"sableusher/internal/config"
 	"sableusher/internal/fit"
+	"sableusher/internal/floor"
 	"sableusher/internal/order"
 	"sableusher/internal/tuning"
 	"sableusher/internal/wire"
@@ -21,16 +22,19 @@
 	r.short = [wire.Ranks]bool{}
 	var lists [wire.Ranks][]order.Work
 	aims := map[string][]time.Time{}
+	waiting := map[string]floor.Waiting{}
 	var runs [wire.Ranks]float64 // of the machine time that running arrays still take
 	for id, j := range r.world.Jobs {
 		if j.Spec.Kind != wire.KindArray || !j.Startable() {
 			continue
 		}
 		rank, share, run := r.rank(j), r.shareOf(&j.Spec), r.expected(j)
+		r.served.Arrived(r.now, id, j.Spec.Class, j.Spec.Team, j.Spec.Tasks, j.Since())
 		runs[rank] += float64(j.Bound) * share * run.Seconds() / 2 // half is left on average
 		if j.Pending() == 0 {
 			continue
 		}
+		waiting[id] = floor.Waiting{Class: j.Spec.Class, Team: j.Spec.Team, Tasks: j.Pending()}
 		if aims[id] = r.aims(j); len(aims[id]) == 0 {
 			continue
 		}
@@ -40,6 +44,7 @@
 		}
 		lists[rank] = append(lists[rank], w)
 	}
+	r.owed = r.served.Owed(r.now, waiting)
 	for rank, list := range lists {
 		if len(list) == 0 {
 			continue
@@ -95,11 +100,28 @@
 	return r.run(j)
 }
 
+// due tells whether it is the turn of an array whose class or team has had least of what is due
+// while room is short. By size alone a class of large arrays would wait for as long as smaller
+// ones keep coming; so of every four seconds two are for classes that are owed, as they differ
+// most, and one for teams; then their arrays come first, in the order that holds among all.
+func (r *round) due(j *world.Job) bool {
+	if len(r.owed) == 0 || j.Spec.Kind != wire.KindArray || !r.short[r.rank(j)] {
+		return false
+	}
+	switch r.now.Unix() % tuning.FloorTurns {
+	case 0, 2:
+		return r.owed[floor.Whom{Name: j.Spec.Class}]
+	case 1:
+		return r.owed[floor.Whom{Team: true, Name: j.Spec.Team}]
+	}
+	return false
+}
+
 // floor tells whether it is the turn of arrays that have been late for long. Behind what can
 // be in time they would wait as long as room is short, be it for hours; so every fourth
 // second they come first, the oldest of them before the others. All nodes find the same.
 func (r *round) floor(j *world.Job) bool {
-	return r.missed[j.Spec.ID] && r.now.Sub(j.Since()) > tuning.FloorAfter && r.now.Unix()%tuning.FloorTurns == 0
+	return r.missed[j.Spec.ID] && r.now.Sub(j.Since()) > tuning.FloorAfter && r.now.Unix()%tuning.FloorTurns == tuning.FloorTurns-1
 }
 
 // roomFor is the room that work of a rank may use on machines that are up, in machines:
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -300,8 +300,18 @@
 	// FloorAfter is how long an array that can't be in time for anything waits before it has
 	// a share of the starts: a few times the longest of its aims as deployments set them.
 	FloorAfter = 5 * time.Minute
-	// FloorTurns is the inverse of that share: each so many seconds one is theirs.
+	// FloorTurns is how many seconds make a round of turns: the last is theirs, the others are
+	// for classes and teams that are owed.
 	FloorTurns = 4
+	// FloorWindow is for how long arrivals are counted for the floors of classes and teams, a
+	// few times the longest aims; FloorJobs bounds how many are kept, a few MB.
+	FloorWindow = 5 * time.Minute
+	FloorJobs   = 20_000
+	// FloorServed is the share of what arrived below which a class or team is owed, with some
+	// way to the half that is the least that anybody may be served, if it is also below
+	// FloorBehind of what all together were served.
+	FloorServed = 0.65
+	FloorBehind = 0.9
 	// TurnEvery is how often all waiting jobs are put in line anew: estimates of run times,
 	// by which deadlines become close, move with each task that completes.
 	TurnEvery = 2 * time.Second
