--- a/internal/standin/floor_test.go
+++ b/internal/standin/floor_test.go
@@ -72,7 +72,7 @@
 		for s := range burst {
 			n++
 			submit(n, "small", 5)
-			if s%14 == 0 {
+			if s%12 == 0 {
 				n++
 				submit(n, "large", large)
 			}
