--- a/internal/place/intime.go
+++ b/internal/place/intime.go
@@ -124,6 +124,10 @@
 	return r.missed[j.Spec.ID] && r.now.Sub(j.Since()) > tuning.FloorAfter && r.now.Unix()%tuning.FloorTurns == tuning.FloorTurns-1
 }
 
+// behind tells whether an array stands behind those that can be in time: it can't, and it is not
+// its turn.
+func (r *round) behind(j *world.Job) bool { return r.missed[j.Spec.ID] && !r.floor(j) }
+
 // roomFor is the room that work of a rank may use on machines that are up, in machines:
 // what is free and what work of its own rank or below takes.
 func (r *round) roomFor(rank int) float64 {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -108,7 +108,7 @@
 
 // turn orders the waiting jobs of a team within what its guarantee has left.
 func (r *round) turn(j *world.Job) int {
-	if r.missed[j.Spec.ID] && !r.floor(j) {
+	if r.behind(j) {
 		return math.MaxInt
 	}
 	return r.size(j)
@@ -129,7 +129,7 @@
 			r.turnedAt = r.now
 		}
 		r.line.Each(func(k order.Key, j *world.Job) bool {
-			if all || k.Assured != r.assured[k.ID] || k.Owed != r.due(j) || k.Late != (r.missed[k.ID] && !r.floor(j)) || k.Size != r.size(j) || r.now.After(r.turns[k.ID]) {
+			if all || k.Assured != r.assured[k.ID] || k.Owed != r.due(j) || k.Late != r.behind(j) || k.Size != r.size(j) || r.now.After(r.turns[k.ID]) {
 				news[k.ID] = struct{}{}
 			}
 			return true
@@ -160,7 +160,7 @@
 	}
 	deadline, pressing, turn := r.deadline(j)
 	r.turns[id] = turn
-	r.line.Put(order.Key{Rank: r.rank(j), Assured: r.assured[id], Owed: r.due(j), Late: r.missed[id] && !r.floor(j), Size: r.size(j), Pressing: pressing, Deadline: deadline.UnixNano(), Since: j.SinceMs(), ID: id}, j)
+	r.line.Put(order.Key{Rank: r.rank(j), Assured: r.assured[id], Owed: r.due(j), Late: r.behind(j), Size: r.size(j), Pressing: pressing, Deadline: deadline.UnixNano(), Since: j.SinceMs(), ID: id}, j)
 }
 
 // besides finds what work on GPUs takes of the rest of a machine for each: the
