Order: an array that can just be in time for its last aim goes first

Room is a little short there, and behind smaller arrays that keep coming the largest missed their last aim.

Change: an array that the plan finds in time goes first once its last aim is near.

--- a/internal/place/intime.go
+++ b/internal/place/intime.go
@@ -86,12 +86,24 @@
 	if j.Spec.Kind != wire.KindArray || !r.short[r.rank(j)] {
 		return 0
 	}
-	if r.floor(j) {
+	if r.floor(j) || r.lastCall(j) {
 		return -1
 	}
 	return 1 + bits.Len(uint(float64(j.Pending())*r.expected(j).Seconds()))
 }
 
+// lastCall tells whether an array has to start soon to be in time for the last of its aims, which
+// it can be. Behind smaller ones that keep coming the large would miss it though there is room for
+// all by then: one in a hundred did where room was a little short.
+func (r *round) lastCall(j *world.Job) bool {
+	if _, ok := r.aimed[j.Spec.ID]; !ok {
+		return false
+	}
+	aims, run := r.aims(j), r.expected(j)
+	slack := aims[len(aims)-1].Sub(r.now) - run
+	return slack >= 0 && slack < max(run, tuning.LastCall)
+}
+
 // expected is how long a task of a job runs as far as its owner knows, else as its class does.
 func (r *round) expected(j *world.Job) time.Duration {
 	if j.Spec.EstimateS > 0 {
--- a/internal/place/intime_test.go
+++ b/internal/place/intime_test.go
@@ -46,6 +46,9 @@
 			if floor && (du.key.Late || du.key.Size != -1) {
 				t.Fatalf("%v has its turn and stands behind", du.key)
 			}
+			if r.lastCall(du.job) && du.key.Size != -1 {
+				t.Fatalf("%v has its last call and stands behind", du.key)
+			}
 			if slack < 0 && !du.key.Late && !floor {
 				t.Fatalf("%v is past all aims and not late", du.key)
 			}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -294,6 +294,9 @@
 	// AssuredEvery is how often it is looked up anew which jobs lie within their
 	// team's guarantee.
 	AssuredEvery = 250 * time.Millisecond
+	// LastCall is the slack, at least, from which on an array goes first that can only just be
+	// in time for its last aim: its tasks start over some rounds and fetch their image.
+	LastCall = 30 * time.Second
 	// InTimeEvery is how often it is looked up anew which arrays can be in time: a job that
 	// comes in between is taken to be.
 	InTimeEvery = time.Second
