Reread: fields that nobody reads, one name for an array that room is too short for

Cause: a last reread of the change. A zone's life kept when its last loss began and the floors' book the class and team of what waits, and nothing read either; whether an array is held to one part was asked in two places in the same words; the order's page named half of what it orders by.

Change, without a change of behaviour: the fields are gone, the question has a name, the pages say all of it.

--- a/internal/floor/floor.go
+++ b/internal/floor/floor.go
@@ -21,12 +21,6 @@
 	Name string
 }
 
-// Waiting is a job of which tasks wait.
-type Waiting struct {
-	Class, Team string
-	Tasks       int // that wait
-}
-
 // arrival is a job that came within the window.
 type arrival struct {
 	id          string
@@ -63,8 +57,9 @@
 
 // Owed gives the classes and teams that were served less than tuning.FloorServed of what
 // arrived of them within the window, and less than tuning.FloorBehind of what all were: who
-// has had least of what is due. Where all were served alike nobody is owed.
-func (b *Book) Owed(now time.Time, waiting map[string]Waiting) map[Whom]bool {
+// has had least of what is due. Where all were served alike nobody is owed. waiting counts, by
+// job, the tasks that wait.
+func (b *Book) Owed(now time.Time, waiting map[string]int) map[Whom]bool {
 	b.queue = slices.DeleteFunc(b.queue, func(a arrival) bool {
 		past := now.Sub(a.at) > tuning.FloorWindow
 		if past {
@@ -75,7 +70,7 @@
 	type sums struct{ arrived, waits int }
 	all, each := sums{}, map[Whom]sums{}
 	for _, a := range b.queue {
-		w := min(waiting[a.id].Tasks, a.tasks)
+		w := min(waiting[a.id], a.tasks)
 		all.arrived, all.waits = all.arrived+a.tasks, all.waits+w
 		for _, who := range []Whom{{false, a.class}, {true, a.team}} {
 			s := each[who]
--- a/internal/floor/floor_test.go
+++ b/internal/floor/floor_test.go
@@ -25,7 +25,7 @@
 			at          time.Time
 		}
 		var b Book
-		jobs, waiting, now := map[string]job{}, map[string]Waiting{}, start
+		jobs, waiting, now := map[string]job{}, map[string]int{}, start
 		for i := range rapid.IntRange(1, 40).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "seconds")) * time.Second)
 			id := strconv.Itoa(i)
@@ -34,7 +34,7 @@
 			for range 1 + rapid.IntRange(0, 1).Draw(t, "again") {
 				b.Arrived(now, id, j.class, j.team, j.tasks, j.at)
 			}
-			waiting[id] = Waiting{j.class, j.team, rapid.IntRange(0, j.tasks).Draw(t, "wait")}
+			waiting[id] = rapid.IntRange(0, j.tasks).Draw(t, "wait")
 			got := b.Owed(now, waiting)
 			kept, all := 0, [2]int{}
 			each := map[Whom][2]int{}
@@ -43,7 +43,7 @@
 					continue
 				}
 				kept++
-				w := waiting[id].Tasks
+				w := waiting[id]
 				all = [2]int{all[0] + j.tasks, all[1] + w}
 				for _, who := range []Whom{{Name: j.class}, {Team: true, Name: j.team}} {
 					each[who] = [2]int{each[who][0] + j.tasks, each[who][1] + w}
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -1,7 +1,8 @@
 // Package order keeps the jobs that wait in the order in which they are given room.
 // The order is the design's: priority first and never crossed, then what lies within
-// its team's guarantee, then what can still be in time, then what is close to its deadline; among the rest the learned
-// value decides for the first of them, which the caller asks for, else the earliest
+// its team's guarantee, whose turn it is for having been served least, what can still be in
+// time, where room is short the small, and what is close to its deadline; among the rest the
+// learned value decides for the first of them, which the caller asks for, else the earliest
 // deadline and arrival.
 //
 // A change of one job costs the logarithm of how many wait. The package knows no
@@ -28,7 +29,8 @@
 }
 
 // Guarded compares what value never crosses: priority, guarantee, whose turn it is for having
-// been served least, what can still be in time before what can't, where room is short the small before the large, and danger.
+// been served least, what can still be in time before what can't, where room is short the
+// small before the large, and danger.
 func (k Key) Guarded(o Key) int {
 	return cmp.Or(cmp.Compare(k.Rank, o.Rank), -compareBool(k.Assured, o.Assured), -compareBool(k.Owed, o.Owed), compareBool(k.Late, o.Late),
 		cmp.Compare(k.Size, o.Size), -compareBool(k.Pressing, o.Pressing))
--- a/internal/place/intime.go
+++ b/internal/place/intime.go
@@ -22,7 +22,7 @@
 	r.short = [wire.Ranks]bool{}
 	var lists [wire.Ranks][]order.Work
 	aims := map[string][]time.Time{}
-	waiting := map[string]floor.Waiting{}
+	waiting := map[string]int{}
 	var runs [wire.Ranks]float64 // of the machine time that running arrays still take
 	for id, j := range r.world.Jobs {
 		if j.Spec.Kind != wire.KindArray || !j.Startable() {
@@ -34,7 +34,7 @@
 		if j.Pending() == 0 {
 			continue
 		}
-		waiting[id] = floor.Waiting{Class: j.Spec.Class, Team: j.Spec.Team, Tasks: j.Pending()}
+		waiting[id] = j.Pending()
 		if aims[id] = r.aims(j); len(aims[id]) == 0 {
 			continue
 		}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -528,7 +528,7 @@
 // tells whether there is room for a task of it anywhere.
 func (r *round) home(du *due) (part int, any bool) {
 	s, best, first := r.stock, -1, r.first(du.job)
-	short := r.short[du.rank] && du.job.Spec.Kind == wire.KindArray
+	short := r.tight(du)
 	for p, n := range du.job.Where {
 		if n > 0 && (best < 0 || n > du.job.Where[best]) && (short && r.live[p] || s.Takes(&du.Ask, p)) {
 			best = p
@@ -554,6 +554,11 @@
 	return p, any
 }
 
+// tight tells whether a job is an array of a priority whose waiting arrays can't all be in time.
+func (r *round) tight(du *due) bool {
+	return r.short[du.rank] && du.job.Spec.Kind == wire.KindArray
+}
+
 // first is the first part in a job's own order whose owner lives.
 func (r *round) first(j *world.Job) int {
 	h := world.PartOf(j.Spec.ID, r.world.Size)
@@ -579,7 +584,7 @@
 	turn := int(r.now.UnixMilli()/tuning.DealHold.Milliseconds()) + r.first(du.job)
 	_, mine := r.tokens[turn%r.world.Size]
 	hold := tuning.DealHold
-	if r.short[du.rank] && du.job.Spec.Kind == wire.KindArray {
+	if r.tight(du) {
 		hold = tuning.DealHoldShort
 	}
 	return mine && r.now.Sub(w.since) > hold
--- a/internal/silence/silence.go
+++ b/internal/silence/silence.go
@@ -106,8 +106,7 @@
 // Troubled tells whether a zone is cut off, or was so lately that its workers may be on
 // their way back.
 func (w *Watch) Troubled(name string) bool {
-	s := w.zones.State(name)
-	return w.zones.Out(name) || s == zone.Returning
+	return w.zones.Out(name) || w.zones.State(name) == zone.Returning
 }
 
 // Cuts gives the zones that are cut off or lost.
--- a/internal/zone/zone.go
+++ b/internal/zone/zone.go
@@ -18,7 +18,7 @@
 //	           returning   at least half were heard and the probation is over
 //
 // A zone that returns again and again is on probation for longer each time, up to a bound;
-// it is forgiven one return for each Forgive that it then serves without a break. Every state
+// it is forgiven one return for each tuning.ProbationForgive that it then serves without a break. Every state
 // but serving ends by itself or names what it waits for (Waits).
 package zone
 
@@ -78,7 +78,6 @@
 type life struct {
 	state   State
 	since   time.Time // of the state
-	cut     time.Time // when the last loss began
 	returns int       // returns that are not forgiven yet
 	good    time.Time // since when it serves, less what was forgiven
 }
@@ -132,7 +131,6 @@
 	case Serving, Doubted, Returning:
 		switch {
 		case gone:
-			l.cut = now
 			l.enter(Cut, now)
 		case l.state == Returning:
 			if !half && now.Sub(l.since) >= l.probation(r) {
@@ -140,7 +138,11 @@
 				l.enter(Serving, now)
 			}
 		case half != (l.state == Doubted):
-			l.enter(map[bool]State{true: Doubted, false: Serving}[half], now)
+			if half {
+				l.enter(Doubted, now)
+			} else {
+				l.enter(Serving, now)
+			}
 		}
 	case Cut, Lost:
 		switch {
@@ -221,7 +223,6 @@
 // Waits says what a zone that does not serve waits for, and until when at the latest.
 func (z *Zones) Waits(now time.Time, name string) string {
 	l := z.life(name)
-	left := func(until time.Time) time.Duration { return max(until.Sub(now), 0).Round(time.Second) }
 	switch l.state {
 	case Doubted:
 		return "half of its machines to be heard, or fewer than a quarter"
@@ -230,7 +231,8 @@
 	case Lost:
 		return "its machines to be heard, or all of them to be returned to the cloud"
 	case Returning:
-		return fmt.Sprintf("its probation to be over in %v", left(l.since.Add(l.probation(&z.Rules))))
+		left := max(l.since.Add(l.probation(&z.Rules)).Sub(now), 0)
+		return fmt.Sprintf("its probation to be over in %v", left.Round(time.Second))
 	}
 	return ""
 }
