--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -398,11 +398,14 @@
 		return
 	}
 	m.direct = true
-	address := m.address
+	address, limit := m.address, tuning.OrderTimeout
+	if overdue && len(cmd.Orders) == 0 {
+		limit = tuning.ProbeTimeout
+	}
 	f.mu.Unlock()
 	f.world.RUnlock()
 
-	rep, status, err := f.post(ctx, address, cmd)
+	rep, status, err := f.post(ctx, address, cmd, limit)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m.direct = false
@@ -428,12 +431,12 @@
 	}
 }
 
-func (f *Fleet) post(ctx context.Context, address string, cmd wire.DirectOrders) (*wire.Report, int, error) {
+func (f *Fleet) post(ctx context.Context, address string, cmd wire.DirectOrders, limit time.Duration) (*wire.Report, int, error) {
 	b, err := wire.Encode(cmd)
 	if err != nil {
 		return nil, 0, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, tuning.OrderTimeout)
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/orders", bytes.NewReader(b))
 	if err != nil {
--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -313,16 +313,17 @@
 	e.poke()
 }
 
-// Returns lists machines to be deleted at the cloud.
-func (e *Engine) Returns() []string {
+// Returns lists machines to be deleted at the cloud, first those on which tasks are still bound:
+// they start elsewhere once the deletion is confirmed. waited tells whether there are any.
+func (e *Engine) Returns() (names []string, waited bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.world.RLock()
 	defer e.world.RUnlock()
-	var out []string
-	add := func(name string) {
-		if _, _, ok := e.member.Owns(world.PartOf(name, e.world.Size)); ok && !e.gone[name] && len(out) < tuning.ReturnMax {
-			out = append(out, name)
+	var urgent, idle []string
+	add := func(to *[]string, name string) {
+		if _, _, ok := e.member.Owns(world.PartOf(name, e.world.Size)); ok && !e.gone[name] && len(*to) < tuning.ReturnMax {
+			*to = append(*to, name)
 		}
 	}
 	moving := map[string]bool{}
@@ -332,15 +333,19 @@
 		}
 	}
 	for name, m := range e.world.Machines {
+		switch {
+		case m.Gone && len(m.Bound) > 0:
+			add(&urgent, name)
 		// Nothing is placed on a drained machine any more: once it is empty it can go.
-		if m.Gone || m.Drain && len(m.Bound) == 0 && !moving[name] {
-			add(name)
+		case m.Gone || m.Drain && len(m.Bound) == 0 && !moving[name]:
+			add(&idle, name)
 		}
 	}
 	for name := range e.world.Orphans {
-		add(name)
+		add(&urgent, name)
 	}
-	return out
+	names = append(urgent, idle...)
+	return names[:min(len(names), tuning.ReturnMax)], len(urgent) > 0
 }
 
 // Demand is what could not be placed, for the pool.
--- a/internal/place/silent.go
+++ b/internal/place/silent.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus/promauto"
 
 	"sableusher/internal/config"
+	"sableusher/internal/evacuate"
 	"sableusher/internal/silence"
 	"sableusher/internal/tuning"
 	"sableusher/internal/wire"
@@ -54,7 +55,7 @@
 			go r.member.Fence(r.ctx, m.Part, true)
 		}
 	}
-	j := r.silence.Judge(r.now, list)
+	j := r.silence.Judge(r.now, list, func(m *silence.Machine) []evacuate.Task { return r.holds(m.Name) })
 	for _, c := range j.Zones {
 		r.log.Info("zone changes", "zone", c.Zone, "state", c.To, "before", c.From, "after", c.After.Round(time.Second), "waits for", c.Waits)
 		for _, s := range zone.States {
@@ -82,6 +83,16 @@
 	}
 }
 
+// holds gives what is on a machine, for the plan of its evacuation.
+func (r *round) holds(name string) []evacuate.Task {
+	var out []evacuate.Task
+	for _, b := range r.world.Machines[name].Bound {
+		kind := map[string]evacuate.Kind{wire.KindService: evacuate.Service, wire.KindGang: evacuate.Gang, wire.KindArray: evacuate.Array}[b.Job.Spec.Kind]
+		out = append(out, evacuate.Task{Job: b.Ref.Job, Kind: kind, Rank: r.rank(b.Job), Has: b.Job.Bound})
+	}
+	return out
+}
+
 // neverUp tells whether a machine should have come up long ago. A new owner has heard
 // of none of its machines yet, and the record of one that has long been up may not say so.
 func (r *round) neverUp(m *world.Machine) bool {
--- a/internal/pool/cloud.go
+++ b/internal/pool/cloud.go
@@ -45,7 +45,7 @@
 		c.follow = c.lead * (1 - tuning.CloudLead) / float64(nodes-1)
 		c.lead *= tuning.CloudLead
 	}
-	c.pace = rate.NewLimiter(rate.Limit(c.follow), 1)
+	c.pace = rate.NewLimiter(rate.Limit(c.follow), tuning.CloudBurst)
 	c.Lead(nodes == 1)
 	return c
 }
@@ -58,10 +58,13 @@
 	}
 	if c.pace.Limit() != rate.Limit(limit) {
 		c.pace.SetLimit(rate.Limit(limit))
-		c.pace.SetBurst(max(1, int(limit)))
+		c.pace.SetBurst(max(tuning.CloudBurst, int(limit)))
 	}
 }
 
+// Spare tells whether a call now would leave one for what can't wait.
+func (c *Cloud) Spare() bool { return c.pace.Tokens() >= tuning.CloudBurst }
+
 func (c *Cloud) call(ctx context.Context, method, path string, in, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, tuning.CloudTimeout)
 	defer cancel()
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -36,9 +36,10 @@
 	commit *store.Committer
 	log    *slog.Logger
 
-	mu      sync.Mutex // guards serial, refused and short, as rentals are asked for at once
+	mu      sync.Mutex // guards serial, refused, counts and short, as rentals are asked for at once
 	serial  int
-	refused map[kind]time.Time // until when a kind is not asked for
+	refused map[kind]refusal   // of kinds that the cloud had none of
+	counts  map[kind]int       // of the deployment's machines, as of the last look
 	short   map[kind]time.Time // until when a kind is believed to have less than a gang needs
 	rented  time.Time          // when machines were last rented
 	cut     []string           // zones that are cut off: what is rented there could not report
@@ -66,10 +67,17 @@
 	spot      bool
 }
 
+// refusal is what is kept of a kind that the cloud had none of, or too few.
+type refusal struct {
+	until time.Time // when it may be asked for again
+	pause time.Duration
+	held  int // machines of the kind that the deployment had before
+}
+
 // New makes a pool.
 func New(set *config.Settings, op *config.Operator, w *world.World, m *member.Member, e *place.Engine, c *Cloud, commit *store.Committer, log *slog.Logger) *Pool {
 	return &Pool{set: set, op: op, world: w, member: m, engine: e, cloud: c, commit: commit, log: log,
-		refused: map[kind]time.Time{}, short: map[kind]time.Time{}, idle: map[string]time.Time{}, unknown: map[string]time.Time{}, arrived: map[string]arrival{}}
+		refused: map[kind]refusal{}, short: map[kind]time.Time{}, idle: map[string]time.Time{}, unknown: map[string]time.Time{}, arrived: map[string]arrival{}}
 }
 
 // Run keeps the fleet until ctx ends.
@@ -155,10 +163,13 @@
 	return wire.Guard{Key: world.PartKey(world.Leader), Stamp: stamp}, ok
 }
 
-// returns deletes machines marked for it, of this node's parts.
+// returns deletes machines marked for it, of this node's parts. Those whose tasks wait for it
+// go at once; the others wait until a call is left over. Of few calls a second the return of
+// one idle machine after the other once took all, and a dead machine's replicas waited for
+// 3 s in the median.
 func (p *Pool) returns(ctx context.Context) {
-	names := p.engine.Returns()
-	if len(names) == 0 {
+	names, waited := p.engine.Returns()
+	if len(names) == 0 || !waited && !p.cloud.Spare() {
 		return
 	}
 	if err := p.cloud.Return(ctx, names); err != nil {
@@ -235,6 +246,7 @@
 		clear(p.idle)
 		return
 	}
+	p.count()
 	p.list(ctx, lead)
 	if p.resume(ctx, lead) {
 		return
@@ -456,7 +468,7 @@
 			}
 			for _, spot := range []bool{true, false} {
 				k := kind{name, z, spot}
-				if spot && !s.Spot || now.Before(p.refused[k]) || !also(k) {
+				if spot && !s.Spot || p.refuses(k, now) || !also(k) {
 					continue
 				}
 				price := t.Price
@@ -508,7 +520,7 @@
 // rent writes a request's name, asks the cloud, and records the machines.
 func (p *Pool) rent(ctx context.Context, lead wire.Guard, k kind, count int) {
 	p.mu.Lock()
-	refused := time.Now().Before(p.refused[k])
+	refused := p.refuses(k, time.Now())
 	p.serial++
 	name := fmt.Sprintf("r-%s-%x-%d", p.member.Self, p.member.Inc, p.serial)
 	p.mu.Unlock()
@@ -594,11 +606,39 @@
 	return nil
 }
 
+// refuse remembers that the cloud has none of a kind. The pause grows with each refusal in a
+// row: where all kinds are refused, as after the loss of a zone, asking each of them every few
+// seconds took the calls that the lost machines' deletions waited for.
 func (p *Pool) refuse(k kind) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.refused[k] = time.Now().Add(tuning.RefusedHold)
-	p.short[k] = time.Now().Add(tuning.ShortHold)
+	now, old := time.Now(), p.refused[k]
+	pause := tuning.RefusedHold
+	if now.Sub(old.until) < tuning.RefusedHold {
+		pause = min(2*old.pause, tuning.RefusedHoldMax)
+	}
+	p.refused[k] = refusal{until: now.Add(pause), pause: pause, held: p.counts[k]}
+	p.short[k] = now.Add(tuning.ShortHold)
+}
+
+// refuses tells whether a kind was refused lately.
+func (p *Pool) refuses(k kind, now time.Time) bool { return now.Before(p.refused[k].until) }
+
+// count counts the deployment's machines by kind, and lets those kinds be asked for again of
+// which it holds fewer than when they were refused: what it has given back is to be had.
+func (p *Pool) count() {
+	counts := map[kind]int{}
+	p.world.RLock()
+	for _, m := range p.world.Machines {
+		if !m.Gone {
+			counts[kind{m.Type, m.Zone, m.Spot}]++
+		}
+	}
+	p.world.RUnlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.counts = counts
+	maps.DeleteFunc(p.refused, func(k kind, r refusal) bool { return counts[k] < r.held })
 }
 
 // shrink marks machines that stood idle for the hold, beyond step and minimum.
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -77,7 +77,7 @@
 // of its room is rented in another, not only the rest of it.
 func TestRefusedZoneIsLeftForAnother(t *testing.T) {
 	p := testPool(t)
-	p.refused[kind{"m", "west", false}] = time.Now().Add(tuning.RefusedHold)
+	p.refused[kind{"m", "west", false}] = refusal{until: time.Now().Add(tuning.RefusedHold)}
 	s := &wire.Spec{ID: "run-1", Kind: wire.KindGang, Priority: wire.PriorityHigh, Tasks: 8, CPUs: 28, GPUs: 4, MemoryGB: 200, OneZone: true}
 	n := 0
 	for _, b := range p.bins(place.Demand{Groups: []place.Group{{Spec: s, Count: 2, Zone: "west", Since: time.Now()}}, Spare: fit.Spare{Room: 9, Whole: 9}, Spot: fit.Spare{Room: 9}}) {
--- a/internal/silence/silence.go
+++ b/internal/silence/silence.go
@@ -13,12 +13,13 @@
 package silence
 
 import (
-	"cmp"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
+	"sableusher/internal/evacuate"
 	"sableusher/internal/tuning"
 	"sableusher/internal/zone"
 )
@@ -33,8 +34,8 @@
 // one after which it is given up if it could not be asked, askedAfter if it could.
 func (r Rules) probeAfter() time.Duration { return times(tuning.ProbeAfter, r.Report) }
 func (r Rules) deadAfter() time.Duration  { return times(tuning.DeadAfter, r.Report) }
-func (r Rules) askedAfter() time.Duration {
-	return min(r.deadAfter(), r.probeAfter()+tuning.OrderTimeout+tuning.SweepEvery)
+func (r Rules) askedAfter(asking time.Duration) time.Duration {
+	return min(r.deadAfter(), r.probeAfter()+asking+tuning.SweepEvery)
 }
 
 func times(n float64, d time.Duration) time.Duration { return time.Duration(n * float64(d)) }
@@ -69,6 +70,16 @@
 	return at
 }
 
+// askedAfter is the silence after which a machine that did not answer is given up. Where its
+// zone was in doubt since it was last heard, links may have been gone for a moment, and it has
+// somewhat longer to find back: so it has with a new owner who never heard it.
+func (w *Watch) askedAfter(m *Machine) time.Duration {
+	if m.Heard.IsZero() || !w.zones.ServedSince(m.Zone, m.Heard) {
+		return w.Rules.askedAfter(tuning.OrderTimeout)
+	}
+	return w.Rules.askedAfter(tuning.ProbeTimeout)
+}
+
 // Victim is a machine to be deleted.
 type Victim struct{ Name, Why string }
 
@@ -95,8 +106,12 @@
 	words  map[string]word
 	asked  time.Time
 	zones  zone.Zones
+	leaves map[string]*leave
 }
 
+// leave is how far the machines of a zone that is cut off, whose services move, are given up.
+type leave struct{ all, gone int }
+
 // Zones are the states of the zones as of the last judgement.
 func (w *Watch) Zones() *zone.Zones { return &w.zones }
 
@@ -143,11 +158,11 @@
 	return whole, w.zones.Look(now, heard)
 }
 
-// Judge looks at all machines of a node.
-func (w *Watch) Judge(now time.Time, list []Machine) Judgement {
+// Judge looks at all machines of a node. holds tells what one that is to be given up holds.
+func (w *Watch) Judge(now time.Time, list []Machine, holds func(*Machine) []evacuate.Task) Judgement {
 	var j Judgement
 	if w.words == nil {
-		w.words = map[string]word{}
+		w.words, w.leaves = map[string]word{}, map[string]*leave{}
 	}
 	whole, changed := w.look(now, list)
 	j.Zones = changed
@@ -161,7 +176,7 @@
 		case age > w.Rules.probeAfter() && m.Late:
 			// No cap and no vote can keep a cancelled task beyond its time.
 			j.Delete = append(j.Delete, Victim{m.Name, "silent with a cancelled task"})
-		case age > w.Rules.deadAfter() || m.Mute && age > w.Rules.askedAfter():
+		case age > w.Rules.deadAfter() || m.Mute && age > w.askedAfter(m):
 			silent = append(silent, m)
 		case age > w.Rules.probeAfter():
 			j.Probe = append(j.Probe, m.Name)
@@ -180,24 +195,47 @@
 	if len(silent)*2 > up && up > 2 && !w.hears(whole) {
 		return j
 	}
-	most := max(2, int(tuning.DeadCap*float64(up)))
-	for _, m := range w.order(now, silent) {
-		// Only what no other node hears either is dead.
-		if v, ok := w.words[m.Name]; !ok || v.node != "" {
+	due, steps := w.order(now, silent, holds)
+	for i, m := range due {
+		if !w.pays(m, up, now) {
 			continue
 		}
-		// A service that can start elsewhere is certain to gain, so it is not paced.
-		if !m.Moves || !w.Cut(m.Zone) {
-			if len(w.deaths) >= most {
-				continue
-			}
-			w.deaths = append(w.deaths, now)
-		}
-		j.Delete = append(j.Delete, Victim{m.Name, w.why(now, m)})
+		j.Delete = append(j.Delete, Victim{m.Name, w.why(now, m) + ", " + steps[i].Why()})
 	}
 	return j
 }
 
+// pays tells whether a machine may be given up now, and counts it if so. A service that
+// starts elsewhere out of a zone that is cut off is certain to gain: these go one after the
+// other over the time that their leases leave, so that they don't all start again at
+// once, and not at all if the zone is heard before. All others are capped, where it is in
+// doubt whether machines die or their links go by a smaller share.
+func (w *Watch) pays(m *Machine, up int, now time.Time) bool {
+	if m.Moves && w.Cut(m.Zone) {
+		l := w.leaves[m.Zone]
+		if l.gone >= l.most(now.Sub(w.since(m)), w.Rules.Lease) {
+			return false
+		}
+		l.gone++
+		return true
+	}
+	share := tuning.DeadCap
+	if w.zones.State(m.Zone) == zone.Serving {
+		share = tuning.DeadCapServing
+	}
+	if len(w.deaths) >= max(2, int(share*float64(up))) {
+		return false
+	}
+	w.deaths = append(w.deaths, now)
+	return true
+}
+
+// most is how many may have been given up once their zone has been silent for so long.
+func (l *leave) most(age, lease time.Duration) int {
+	from := times(tuning.CutServices, lease)
+	return int(math.Ceil(float64(l.all) * min(1, float64(age-from)/float64(lease-from))))
+}
+
 func (w *Watch) why(now time.Time, m *Machine) string {
 	why := fmt.Sprintf("silent for %v", now.Sub(w.since(m)).Round(time.Second))
 	if w.Cut(m.Zone) {
@@ -211,36 +249,64 @@
 	return len(w.Cuts()) > 0 && whole.Up >= tuning.CutMachines && float64(whole.Heard) >= tuning.CutElsewhere*float64(whole.Up)
 }
 
-// order gives the silent machines that are due to be given up, the most needed first.
-// In a zone that is cut off a machine runs its tasks until its lease ends, which a
-// controller in the zone renews: until then it is left alone. After it, what it held must
-// start again; an empty one is waited for as long as one with a controller.
-func (w *Watch) order(now time.Time, silent []*Machine) []*Machine {
-	due := slices.DeleteFunc(silent, func(m *Machine) bool {
-		if !w.Cut(m.Zone) {
-			return false
+// order gives the silent machines that are due to be given up, in the order of the plan
+// of their evacuation, with its steps. Only what no other node hears either is dead. In a
+// zone that is cut off a machine runs its tasks until its lease ends, which a controller in
+// the zone renews: until then it is left alone. After it, what it held must start again; an
+// empty one is waited for as long as one with a controller.
+func (w *Watch) order(now time.Time, silent []*Machine, holds func(*Machine) []evacuate.Task) ([]*Machine, []evacuate.Step) {
+	var lost []evacuate.Machine
+	byName := map[string]*Machine{}
+	moving := map[string]int{}
+	for _, m := range silent {
+		if v, ok := w.words[m.Name]; !ok || v.node != "" {
+			continue
+		}
+		if w.Cut(m.Zone) {
+			age, lease := now.Sub(w.since(m)), w.Rules.Lease
+			moves := m.Moves && age > times(tuning.CutServices, lease)
+			switch {
+			case moves:
+				moving[m.Zone]++
+			case m.Inside || m.Bound == 0:
+				if age < tuning.CutInside {
+					continue
+				}
+			case age < lease:
+				continue
+			}
 		}
-		age, lease := now.Sub(w.since(m)), w.Rules.Lease
-		if m.Inside || m.Bound == 0 {
-			return age < tuning.CutInside
+		byName[m.Name] = m
+		lost = append(lost, evacuate.Machine{Name: m.Name, Tasks: holds(m)})
+	}
+	for name, n := range moving {
+		if l := w.leaves[name]; l == nil {
+			w.leaves[name] = &leave{all: n}
+		} else {
+			l.all = max(l.all, l.gone+n)
 		}
-		return age < lease && !(m.Moves && age > times(tuning.CutServices, lease))
-	})
-	slices.SortStableFunc(due, func(a, b *Machine) int {
-		return cmp.Or(-cmp.Compare(moves(a), moves(b)), -cmp.Compare(a.Bound, b.Bound))
-	})
-	return due
+	}
+	maps.DeleteFunc(w.leaves, func(name string, _ *leave) bool { return !w.Cut(name) })
+	steps := evacuate.Plan(lost)
+	due := make([]*Machine, len(steps))
+	for i, s := range steps {
+		due[i] = byName[s.Machine]
+	}
+	return due, steps
 }
 
 // ask decides whether the peers are asked now; their answers count for a while. Where
 // most of a part's machines report to one other node, the part goes there.
 func (w *Watch) ask(now time.Time, j *Judgement, list []Machine, silent []*Machine) {
-	names := make(map[string]bool, len(silent))
+	names := make(map[string]bool, len(silent)+len(j.Probe))
 	for _, m := range silent {
 		names[m.Name] = true
 	}
+	for _, n := range j.Probe {
+		names[n] = true // so that their word is here by the time it is needed
+	}
 	maps.DeleteFunc(w.words, func(n string, v word) bool { return !names[n] || now.Sub(v.at) > 2*tuning.AskEvery })
-	if len(silent) > 0 && now.Sub(w.asked) >= tuning.AskEvery {
+	if len(names) > 0 && now.Sub(w.asked) >= tuning.AskEvery {
 		w.asked = now
 		j.Ask = slices.Sorted(maps.Keys(names))
 	}
@@ -268,10 +334,3 @@
 		}
 	}
 }
-
-func moves(m *Machine) int {
-	if m.Moves {
-		return 1
-	}
-	return 0
-}
--- a/internal/silence/silence_test.go
+++ b/internal/silence/silence_test.go
@@ -9,6 +9,7 @@
 
 	"pgregory.net/rapid"
 
+	"sableusher/internal/evacuate"
 	"sableusher/internal/seeded"
 )
 
@@ -19,6 +20,14 @@
 	start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 )
 
+// holds gives the tasks of a machine: a service of two replicas if it moves, else an array's.
+func holds(m *Machine) []evacuate.Task {
+	if m.Moves {
+		return []evacuate.Task{{Job: "service of " + m.Name, Kind: evacuate.Service, Has: 2}}
+	}
+	return make([]evacuate.Task, m.Bound)
+}
+
 // site is a node's machines, as a test moves them on: those that are not silent report
 // within every interval.
 type site struct {
@@ -46,7 +55,7 @@
 			m.Heard, m.Mute = now, false
 		}
 	}
-	j := s.w.Judge(now, s.list)
+	j := s.w.Judge(now, s.list, holds)
 	for _, n := range j.Probe {
 		for i := range s.list {
 			if s.list[i].Name == n && s.silent[n] {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -184,14 +184,20 @@
 	DeadAfter = 3.0
 	// ProbeAfter is the silence, in report intervals, after which a worker is asked
 	// directly: reports come up to a quarter late. One that does not answer in
-	// OrderTimeout is deleted, unless another node has heard it.
+	// ProbeTimeout is deleted, unless another node has heard it.
 	ProbeAfter = 1.35
+	// ProbeTimeout is how long such a question may take: many times a way there and back, a
+	// second connection attempt included.
+	ProbeTimeout = 1500 * time.Millisecond
 	// FindNode is how long a worker may take beyond that to find its part's new
 	// owner: it tries the nodes one after the other.
 	FindNode = 15 * time.Second
 	// DeadCap is the largest fraction of a node's machines (at least two) that
-	// may be deleted for silence in DeadWindow.
-	DeadCap = 0.15
+	// may be deleted for silence in DeadWindow; DeadCapServing holds for those in a zone of
+	// which at least half is heard: a loss of a fifth of a region once took two windows, and
+	// the services on it were down for 20 s longer.
+	DeadCap        = 0.15
+	DeadCapServing = 0.35
 	// DeadWindow is the window of DeadCap.
 	DeadWindow = 20 * time.Second
 	// PulseEvery is the interval at which a node notes that it runs; a gap of more than
@@ -230,7 +236,8 @@
 	CutOwned = 2.0
 	// CutServices is the share of a lease after which machines of a zone that is cut
 	// off are given up if services on them can start elsewhere: shorter cuts are
-	// waited out. At 0.75 all of a zone's replicas started again at once, with its leases.
+	// waited out. The rest of the lease they go one after the other: at 0.75 all of a zone's
+	// replicas started again at once, with its leases.
 	CutServices = 0.4
 	// CancelShare of a cancellation's time may pass before a silent machine is
 	// deleted for it, whatever else speaks for waiting; clocks differ by milliseconds.
@@ -429,8 +436,10 @@
 	WholeShare = 0.5
 	// DemandStale is the age past which the placement's demand is not acted on.
 	DemandStale = 2 * time.Second
-	// RefusedHold is the pause after a type, zone and kind was refused.
-	RefusedHold = 6 * time.Second
+	// RefusedHold is the pause after a type, zone and kind was refused; it doubles with further
+	// refusals in a row up to RefusedHoldMax, within which others' returns are noticed.
+	RefusedHold    = 6 * time.Second
+	RefusedHoldMax = 12 * time.Second
 	// ShortHold is how long a kind that gave fewer machines than were asked for is
 	// believed to have less than a whole gang needs: some boot times, in which others
 	// return what they no longer use.
@@ -445,8 +454,12 @@
 	CloudTimeout = 5 * time.Second
 	// CloudShare is the fraction of the cloud's rate that all nodes plan to use.
 	CloudShare = 0.85
-	// CloudLead is the leader's share of that; the others share the rest.
-	CloudLead = 0.6
+	// CloudLead is the leader's share of that; the others share the rest. At 0.6 of four calls a
+	// second each of four others had one in three seconds, while the leader's were refused.
+	CloudLead = 0.45
+	// CloudBurst is how many calls a node may make at once after a pause: one that can wait leaves
+	// one for what can't. The cloud allows bursts of two seconds' worth.
+	CloudBurst = 2
 	// CatalogEvery is the interval at which the catalog is read again.
 	CatalogEvery = 60 * time.Second
 	// ReturnMax is the most machines one return may name.
--- a/internal/zone/zone.go
+++ b/internal/zone/zone.go
@@ -191,6 +191,12 @@
 	return s == Cut || s == Lost
 }
 
+// ServedSince tells whether a zone has served without a doubt since a time.
+func (z *Zones) ServedSince(name string, at time.Time) bool {
+	l := z.life(name)
+	return l.state == Serving && l.since.Before(at)
+}
+
 // Outs gives the zones that are out, by name.
 func (z *Zones) Outs() []string {
 	var out []string
