--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -362,8 +362,7 @@
 	}
 }
 
-// send gives a machine its orders directly. One command is on its way at a
-// time; after a failure the next report is awaited.
+// send gives a machine its orders directly. One command is on its way at a time.
 func (f *Fleet) send(ctx context.Context, name string) {
 	f.world.RLock()
 	rec := f.world.Machines[name]
@@ -381,17 +380,25 @@
 	if m.address == "" {
 		m.address = rec.Address
 	}
-	if m.direct || m.address == "" || m.directAt.After(m.heard) && time.Since(m.directAt) < f.set.Report() {
+	// After a failure the next report is awaited. One that is overdue is asked over and over until
+	// it is given up, so that what was out of reach for a moment is heard before; no orders
+	// go with it, as each would be a start in doubt more.
+	silent := time.Since(m.heard)
+	overdue, failed := silent > f.reports(tuning.ProbeAfter), m.directAt.After(m.heard)
+	pause := f.set.Report()
+	if overdue && silent < f.reports(tuning.DeadAfter) {
+		pause = tuning.ProbePause
+	}
+	if m.direct || m.address == "" || failed && time.Since(m.directAt) < pause {
 		f.mu.Unlock()
 		f.world.RUnlock()
 		return
 	}
 	cmd := wire.DirectOrders{Token: token, Session: max(m.session, 1), Orders: []wire.Order{}}
-	if m.session != 0 {
+	if m.session != 0 && !(overdue && failed) {
 		cmd.Orders = append(cmd.Orders, m.orders(rec.Bound, f.known, f.wish, token, 0, time.Now())...)
 	}
 	// A worker that is overdue is asked whether it is there at all.
-	overdue := time.Since(m.heard) > time.Duration(tuning.ProbeAfter*float64(f.set.Report()))
 	if len(cmd.Orders) == 0 && m.token == token && !overdue {
 		f.mu.Unlock()
 		f.world.RUnlock()
@@ -431,6 +438,9 @@
 	}
 }
 
+// reports is the time of so many report intervals.
+func (f *Fleet) reports(n float64) time.Duration { return time.Duration(n * float64(f.set.Report())) }
+
 func (f *Fleet) post(ctx context.Context, address string, cmd wire.DirectOrders, limit time.Duration) (*wire.Report, int, error) {
 	b, err := wire.Encode(cmd)
 	if err != nil {
@@ -466,7 +476,7 @@
 type State struct {
 	Heard   time.Time
 	Session uint64
-	Usable  bool // heard lately, under our token, no notice, no refusal
+	Usable  bool // heard lately, answers, under our token, no notice, no refusal
 	Recall  time.Time
 	Doubt   bool // a direct start without an answer is left
 	Mute    bool // a direct question since the last report got no answer
@@ -483,8 +493,8 @@
 	}
 	now := time.Now()
 	s := State{Heard: m.heard, Session: m.session, Recall: m.recall, Errors: len(m.errors), Doubt: m.doubt(token), Mute: m.directAt.After(m.heard)}
-	silent := time.Duration(tuning.SilentAfter * float64(f.set.Report()))
-	s.Usable = m.session != 0 && m.token == token && m.recall.IsZero() && now.Sub(m.heard) < silent &&
+	silent := f.reports(tuning.SilentAfter)
+	s.Usable = m.session != 0 && m.token == token && m.recall.IsZero() && now.Sub(m.heard) < silent && !s.Mute &&
 		now.Sub(m.refused) > tuning.RefuseHold && len(m.errors) < tuning.MachineErrors
 	return s
 }
@@ -567,7 +577,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	// A worker that lost its way to one node tries the next after seconds.
-	limit := time.Duration(tuning.ProbeAfter * float64(f.set.Report()))
+	limit := f.reports(tuning.HeardLately)
 	var out []string
 	for _, n := range machines {
 		at := f.bounced[n]
--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -64,6 +64,7 @@
 	missed    map[string]bool      // waiting arrays that can be in time for none of their aims
 	aimed     map[string]time.Time // the aim that each of the others can meet with the room there is
 	aimedAt   time.Time
+	lacked    time.Time            // when a service last found no room
 	served    floor.Book           // what arrived lately of classes and teams
 	owed      map[floor.Whom]bool  // who of them has had least of what is due
 	turns     map[string]time.Time // when time alone next moves a waiting job in line
--- a/internal/place/intime.go
+++ b/internal/place/intime.go
@@ -83,6 +83,9 @@
 // it the payoff's responsiveness highest. Within a class danger and value decide. The owner's
 // estimate tells the jobs of one class apart, which the class's median can't.
 func (r *round) size(j *world.Job) int {
+	if j.Spec.Kind == wire.KindService && r.scarce() {
+		return 1 + j.Bound // the fewest replicas left first
+	}
 	if j.Spec.Kind != wire.KindArray || !r.short[r.rank(j)] {
 		return 0
 	}
@@ -92,6 +95,10 @@
 	return 1 + bits.Len(uint(float64(j.Pending())*r.expected(j).Seconds()))
 }
 
+// scarce tells whether services have found no room of late, as after the loss of a zone. Then one
+// replica of each starts before the second of any, and those with the fewest left go first.
+func (r *round) scarce() bool { return r.now.Sub(r.lacked) < tuning.ServicesLack }
+
 // lastCall tells whether an array has to start soon to be in time for the last of its aims, which
 // it can be. Behind smaller ones that keep coming the large would miss it though there is room for
 // all by then: one in a hundred did where room was a little short.
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -345,10 +345,15 @@
 			for n < len(queue) && queue[n].rank == queue[0].rank {
 				n++
 			}
+			for i := range queue[:n] {
+				if du := &queue[i]; r.admit(du, total) && r.scarce() {
+					r.dealFirst(du, s)
+				}
+			}
 			// Of work that is in no hurry, first comes what finds its image where
 			// there is room: to fetch it would take the machine's time.
 			for i := range queue[:n] {
-				if du := &queue[i]; r.admit(du, total) && du.rank > wire.Rank(wire.PriorityHigh) && !du.pressing && !du.key.Late {
+				if du := &queue[i]; du.rank > wire.Rank(wire.PriorityHigh) && !du.pressing && !du.key.Late {
 					r.deal(du, s, true)
 				}
 			}
@@ -367,6 +372,18 @@
 	}
 }
 
+// dealFirst gives a service that has lost all its replicas room for one, before any has room for
+// its second. One that never had any starts whole: each start alone is a change of its record.
+func (r *round) dealFirst(du *due, s *fit.Stock) {
+	if du.job.Spec.Kind != wire.KindService || du.job.Bound > 0 || r.task(du.job, 0).Attempt == 0 {
+		return
+	}
+	rest := du.Left - 1
+	du.Left = 1
+	r.deal(du, s, false)
+	du.Left += rest
+}
+
 // admit finds how many tasks of a job wait that its team's limit allows.
 func (r *round) admit(du *due, total map[string]world.Amount) bool {
 	j, spec := du.job, &du.job.Spec
@@ -508,6 +525,9 @@
 		return
 	}
 	r.waiting(j, "no room", nil)
+	if spec.Kind == wire.KindService {
+		r.lacked = r.now
+	}
 	short := du.Left
 	s.Expect(&du.Ask, &z)
 	if du.Left > 0 && r.counts {
--- a/internal/silence/silence_test.go
+++ b/internal/silence/silence_test.go
@@ -58,8 +58,10 @@
 	j := s.w.Judge(now, s.list, holds)
 	for _, n := range j.Probe {
 		for i := range s.list {
-			if s.list[i].Name == n && s.silent[n] {
-				s.list[i].Mute = true
+			if m := &s.list[i]; m.Name == n {
+				if m.Mute = s.silent[n]; !m.Mute {
+					m.Heard = now
+				}
 			}
 		}
 	}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -183,12 +183,18 @@
 	// intervals, where it could not be asked directly.
 	DeadAfter = 3.0
 	// ProbeAfter is the silence, in report intervals, after which a worker is asked
-	// directly: reports come up to a quarter late. One that does not answer in
-	// ProbeTimeout is deleted, unless another node has heard it.
-	ProbeAfter = 1.35
+	// directly: reports come up to a quarter late, one in ten later than this, and a question
+	// costs a message. One that does not answer in ProbeTimeout is deleted, unless another
+	// node has heard it.
+	ProbeAfter = 1.2
+	// HeardLately is the time, in report intervals, within which a node that hears a worker has
+	// heard it; a little more than the longest between two reports.
+	HeardLately = 1.35
 	// ProbeTimeout is how long such a question may take: many times a way there and back, a
 	// second connection attempt included.
 	ProbeTimeout = 1500 * time.Millisecond
+	// ProbePause is the pause between two such questions to one worker.
+	ProbePause = 700 * time.Millisecond
 	// FindNode is how long a worker may take beyond that to find its part's new
 	// owner: it tries the nodes one after the other.
 	FindNode = 15 * time.Second
@@ -322,6 +328,9 @@
 	// FloorBehind of what all together were served.
 	FloorServed = 0.65
 	FloorBehind = 0.9
+	// ServicesLack is for how long after a service found no room the fewest replicas left go
+	// first: longer than it takes until room that is being freed for one is empty.
+	ServicesLack = 5 * time.Second
 	// TurnEvery is how often all waiting jobs are put in line anew: estimates of run times,
 	// by which deadlines become close, move with each task that completes.
 	TurnEvery = 2 * time.Second
