--- a/internal/place/changes.go
+++ b/internal/place/changes.go
@@ -277,13 +277,16 @@
 	r.out = append(r.out, c)
 }
 
-func (r *round) writeMachine(what, name string, part int, rec world.MachineRecord, stamp uint64) {
+// writeMachine adds a change of a machine's record, and gives it for its place in the queue.
+func (r *round) writeMachine(what, name string, part int, rec world.MachineRecord, stamp uint64) *store.Item {
 	key := world.MachineKey(name)
-	r.out = append(r.out, &change{
+	c := &change{
 		what: what, keys: []string{key}, parts: []int{part}, late: true,
 		item: store.Item{
 			Guards: []wire.Guard{{Key: world.PartKey(part), Stamp: r.stamps[part]}, {Key: key, Stamp: stamp}},
 			Ops:    []wire.Op{store.Set(key, rec)},
 		},
-	})
+	}
+	r.out = append(r.out, c)
+	return &c.item
 }
--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -1,6 +1,8 @@
 package place
 
 import (
+	"time"
+
 	"sableusher/internal/fit"
 	"sableusher/internal/preempt"
 	"sableusher/internal/tuning"
@@ -22,7 +24,10 @@
 	if r.stops >= tuning.RoundStops || r.rigid[du.rank].Cover(&du.Ask) {
 		return false
 	}
-	first := (r.first(du.job) + i) % r.world.Size
+	// The parts take turns: where an owner knows that machines of its part are not to be had, which
+	// others take for ready, all would wait for it and nobody make room.
+	turn := int(r.now.Unix() / int64(tuning.PreemptTurn/time.Second))
+	first := (r.first(du.job) + i + turn) % r.world.Size
 	for k := range r.world.Size {
 		p := (first + k) % r.world.Size
 		_, mine := r.tokens[p]
--- a/internal/place/settle.go
+++ b/internal/place/settle.go
@@ -89,6 +89,7 @@
 				item: store.Item{
 					Guards: []wire.Guard{{Key: world.PartKey(m.Part), Stamp: r.stamps[m.Part]}, {Key: world.MachineKey(name), Stamp: m.Stamp}},
 					Ops:    []wire.Op{store.Drop(world.MachineKey(name))},
+					Lazy:   true, // its record says that it is being deleted, so nobody counts on it
 				},
 			})
 		}
@@ -263,12 +264,11 @@
 		}
 		renewed := m != nil && rec.Session != session
 		rec.Type, rec.Zone, rec.Spot, rec.Address, rec.Up, rec.Session = rep.Type, rep.Zone, rep.Spot, rep.Address, true, session
-		r.writeMachine("machine is up "+name, name, part, rec, stamp)
+		it := r.writeMachine("machine is up "+name, name, part, rec, stamp)
 		// That it is up can wait: others only plan with it, its owner uses it at once. A new
 		// session can't: others bind gangs and services to the one on record, which
 		// this node ends at once, and both over and over. After a zone's leases had run
 		// out that used up the whole budget, so that the records were never mended.
-		it := &r.out[len(r.out)-1].item
 		it.Urgent, it.Lazy = renewed, m != nil && !renewed
 	}
 }
--- a/internal/place/silent.go
+++ b/internal/place/silent.go
@@ -108,7 +108,13 @@
 	r.log.Info("deleting a machine", "machine", v.Name, "why", v.Why, "tasks", len(m.Bound))
 	rec := m.MachineRecord
 	rec.Gone = true
-	r.writeMachine("delete machine "+v.Name, v.Name, m.Part, rec, m.Stamp)
+	it := r.writeMachine("delete machine "+v.Name, v.Name, m.Part, rec, m.Stamp)
+	// What it held waits for this change as for its own: behind the ends of arrays' tasks
+	// replicas once waited for seconds more.
+	for _, b := range m.Bound {
+		it.Urgent = it.Urgent || b.Job.Spec.Kind == wire.KindService
+		it.Soon = it.Soon || r.rank(b.Job) <= wire.Rank(wire.PriorityHigh)
+	}
 }
 
 // late tells whether a machine holds a task whose cancellation was asked for so long
