Preempt: what is expected on machines coming up closes no zone to what is stopped

A service looks at machines coming up before it makes room; what it expected there counted against its spread, so that no zone was open for a stop and it waited for a boot. Change: stops go by the zones as they are, with the machines being freed for the job counted. Test: place.TestServiceMakesRoomBesideBoots (nothing was stopped before).

--- a/internal/fit/choose.go
+++ b/internal/fit/choose.go
@@ -30,6 +30,13 @@
 	return z.Known && (z.Pin == "" || z.Pin == zone) && z.Count[zone] < z.Limit
 }
 
+// Copy gives zones that count on by themselves.
+func (z *Zones) Copy() Zones {
+	c := *z
+	c.Count = maps.Clone(z.Count)
+	return c
+}
+
 func (z *Zones) add(s *wire.Spec, zone string, count int) {
 	z.Count[zone] += count
 	if s.OneZone {
@@ -130,8 +137,7 @@
 		})
 	}
 	for _, zone := range zones {
-		try := z
-		try.Count = maps.Clone(z.Count)
+		try := z.Copy()
 		if zone != "" {
 			try.Pin = zone
 		}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -528,14 +528,17 @@
 	if spec.Kind == wire.KindService {
 		r.lacked = r.now
 	}
-	short := du.Left
+	short, open := du.Left, z.Copy()
 	s.Expect(&du.Ask, &z)
 	if du.Left > 0 && r.counts {
 		d.Groups = append(d.Groups, Group{Spec: spec, Count: du.Left, Zone: z.Pin, Rank: du.rank, Since: j.Since()})
 	}
 	if (du.assured || du.rank <= wire.Rank(wire.PriorityHigh)) && (!gang || spec.Tasks == 1) {
+		// What stands on machines coming up in the play takes no zone from what is stopped for it
+		// meanwhile: services that are spread once waited for boots in the midst of arrays.
+		r.freed(spec.ID, &open)
 		for i := range min(short, tuning.PreemptTasks) {
-			if !r.preempt(du, i, s, &z) {
+			if !r.preempt(du, i, s, &open) {
 				break
 			}
 		}
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -403,3 +403,40 @@
 		t.Errorf("%d of 3 tasks bound", total)
 	}
 }
+
+// TestServiceMakesRoomBesideBoots: a service that is spread over two zones has arrays stopped at
+// once in both, though machines that come up would hold all of it: it once waited for their
+// boot, since what it expected there counted against its zones.
+func TestServiceMakesRoomBesideBoots(t *testing.T) {
+	f := newField(t)
+	busy := array(1, 40)
+	busy.Priority = wire.PriorityNormal
+	busy.CPUs, busy.GPUs = 28, 4
+	var on []world.Task
+	for i := range 60 {
+		if i%3 == 2 {
+			continue // of three zones two are used
+		}
+		on = append(on, world.Task{Index: len(on), State: world.Bound, Attempt: 1, Machine: f.machine(i, false), Session: 1})
+	}
+	f.job(busy, on...)
+	for i := range 30 {
+		if i%3 != 2 {
+			f.put(world.MachineKey(fmt.Sprintf("vm-1%05d", i)), world.MachineRecord{Type: "m", Zone: testZones[i%3], AtMs: testNow.UnixMilli()})
+		}
+	}
+	service := wire.Spec{ID: "run-000002", Kind: wire.KindService, Priority: wire.PriorityProduction, Tasks: 4, CPUs: 5, GPUs: 1, MemoryGB: 38, Spread: true}
+	f.job(service)
+	zones := map[string]int{}
+	for i, e := range f.engines {
+		f.round(i)
+		for name, h := range e.held {
+			if h.ref.Job == service.ID {
+				zones[f.world.Machines[name].Zone]++
+			}
+		}
+	}
+	if zones["east"]+zones["west"] != 4 || zones["east"] > 3 {
+		t.Errorf("room is made by zone: %v, want 4 in both", zones)
+	}
+}
--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -42,6 +42,7 @@
 		if mine {
 			if best, stop := preempt.Cheapest(du.Need, from, func(n *fit.Node) []preempt.Task { return r.victims(n, du) }); best != nil {
 				r.stop(best, du, ref, stop)
+				z.Count[best.M.Zone]++
 			}
 		}
 		return true
@@ -53,6 +54,15 @@
 	return false
 }
 
+// freed counts with a job's tasks the machines on which room is being freed for it.
+func (r *round) freed(job string, z *fit.Zones) {
+	for name, h := range r.held {
+		if m := r.world.Machines[name]; m != nil && h.ref.Job == job && !r.now.After(h.until) {
+			z.Count[m.Zone]++
+		}
+	}
+}
+
 // victims gives the tasks on a machine that may be stopped for a job.
 func (r *round) victims(n *fit.Node, du *due) []preempt.Task {
 	claim := preempt.Claim{Rank: du.rank, Assured: du.assured, Promised: r.promised[du.job.Spec.ID], Team: du.job.Spec.Team, Need: du.Need}
--- a/internal/standin/region.go
+++ b/internal/standin/region.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -115,6 +116,7 @@
 	charters map[string][]string
 	listings []listing
 	cloudOff time.Time
+	closed   map[string]time.Time // zones in which the cloud rents nothing until then
 	workers  map[string]*worker
 	saved    map[world.TaskRef]bool
 	runS     map[string]float64
@@ -140,7 +142,7 @@
 	r := &Region{Set: set, Net: NewNet(rand.New(rand.NewPCG(rnd.Uint64(), 1))), Oracle: NewOracle(set), Log: log,
 		State: NewState(d.State.RPS, d.State.WriteRPS, d.State.TxnOps, d.State.ValueKB, 600),
 		ctx:   ctx, rnd: rnd, types: types, capacity: map[string]int{}, charters: map[string][]string{},
-		workers: map[string]*worker{}, saved: map[world.TaskRef]bool{}, runS: map[string]float64{}, faults: map[world.TaskRef]int{}}
+		workers: map[string]*worker{}, closed: map[string]time.Time{}, saved: map[world.TaskRef]bool{}, runS: map[string]float64{}, faults: map[world.TaskRef]int{}}
 	for _, t := range types {
 		for _, z := range t.Zones {
 			for _, spot := range []bool{true, false} {
@@ -363,6 +365,51 @@
 	r.Net.Cut(Cut{Inside: inside, Hold: hold, Until: until})
 }
 
+// CloseZone makes the cloud rent nothing in a zone until a time.
+func (r *Region) CloseZone(zone string, until time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed[zone] = until
+}
+
+// Power takes the power from a zone until a time: what is on its machines is gone, its
+// controllers end, nothing is rented there. Then its controllers start again, and of its
+// machines all but every lose-th come back, with new sessions and without images; those that
+// don't are listed as failed. With lose 0 all come back.
+func (r *Region) Power(zone string, until time.Time, lose int) {
+	r.CloseZone(zone, until)
+	r.mu.Lock()
+	n := 0
+	for _, name := range slices.Sorted(maps.Keys(r.workers)) {
+		w := r.workers[name]
+		if w.zone != zone {
+			continue
+		}
+		if n++; lose > 0 && n%lose == 0 {
+			r.remove(name, true)
+			continue
+		}
+		for k, t := range w.tasks {
+			if t.on {
+				r.Oracle.Off(k.ref, name)
+			}
+		}
+		clear(w.tasks)
+		clear(w.images)
+		w.session, w.seq, w.token, w.hungUntil = w.session+1, 0, 0, until
+	}
+	r.mu.Unlock()
+	for i, c := range r.nodes {
+		if c.Set.Zone == zone {
+			r.Kill(i)
+			r.wg.Go(func() {
+				time.Sleep(time.Until(until))
+				r.Start(i)
+			})
+		}
+	}
+}
+
 // Sessions gives the sessions of the machines of some zones.
 func (r *Region) Sessions(zones ...string) map[string]uint64 {
 	r.mu.Lock()
@@ -477,7 +524,7 @@
 	}
 	key := kindKey(q.Type, q.Zone, q.Spot)
 	n := min(q.Count, r.capacity[key])
-	if n <= 0 {
+	if n <= 0 || now.Before(r.closed[q.Zone]) {
 		wire.Reply(w, http.StatusServiceUnavailable, wire.Problem{Error: "no capacity"})
 		return
 	}
