Zones: room kept for the loss of one, services spread ahead, both off

Need: a zone's loss is served soonest where the others have room for its services and no service stands in it alone. Ruled out: one spare total as part of the step: spare machines go where the fleet is smallest, so all of them may stand in the zone that is lost (found by the property test). Tests: pool.TestReserveCoversALostZone (generated fleets, any zone lost), place.TestServicesSpreadWhereAsked.

--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -33,6 +33,12 @@
 	RefitS      float64  `xml:"refit-s"`
 	Learn       bool     `xml:"learn"`
 	OwnedFleet  bool     `xml:"owned-fleet"`
+	// ZoneReserve is the share of the services of the zone with most of them for which room is
+	// kept free in the other zones, from 0 to 1.
+	ZoneReserve float64 `xml:"zone-reserve"`
+	// SpreadServices puts the replicas of services that don't ask for it into several zones too,
+	// at most half of them in one as long as another has room.
+	SpreadServices bool `xml:"spread-services"`
 	// Classes of jobs whose tasks may fail so often only; none by default.
 	Classes []Class `xml:"classes>class"`
 }
@@ -91,6 +97,7 @@
 	num("pool-step", float64(op.PoolStep), 0, 1000)
 	num("pool-hold-s", op.PoolHoldS, 0, 86400)
 	num("refit-s", op.RefitS, 0.5, 3600)
+	num("zone-reserve", op.ZoneReserve, 0, 1)
 	if len(op.Classes) > tuning.MaxClasses {
 		errs = append(errs, fmt.Errorf("<classes>: more than %d", tuning.MaxClasses))
 	}
--- a/internal/fit/stock.go
+++ b/internal/fit/stock.go
@@ -389,20 +389,24 @@
 
 // Spare is the room that is left once all that waits has been given its own.
 type Spare struct {
-	Room  float64 // in machines
-	Whole int     // machines that nothing uses
+	Room  float64            // in machines
+	Whole int                // machines that nothing uses
+	Zones map[string]float64 // the room by zone
 }
 
 // Spare gives what is left, of ordinary and of spot machines, and the names of the
 // machines, up or booting, that no task uses or waits for.
 func (s *Stock) Spare() (ordinary, spot Spare, idle []string) {
+	ordinary.Zones, spot.Zones = map[string]float64{}, map[string]float64{}
 	for _, list := range [][]*Node{s.ready, s.coming} {
 		for _, n := range list {
 			to := &ordinary
 			if n.M.Spot {
 				to = &spot
 			}
-			to.Room += Share(n.Free, n.Capacity)
+			room := Share(n.Free, n.Capacity)
+			to.Room += room
+			to.Zones[n.M.Zone] += room
 			if n.Free == n.Capacity && n.Kept == "" && len(n.M.Bound) == 0 {
 				to.Whole++
 				idle = append(idle, n.M.Name)
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -462,7 +462,7 @@
 	}
 	k := r.chunk(j)
 	z := r.zones(j, k)
-	picks := s.Choose(&du.Ask, where, &z, also)
+	picks := r.chooseSpread(du, where, &z, also)
 	if _, mine := r.tokens[du.home]; !mine && !held && len(picks) > 0 && r.waited(du) {
 		// Its owner has not taken it though there is room.
 		s.Give(&du.Ask, picks)
@@ -475,6 +475,24 @@
 	r.bindOwn(du, k, picks)
 }
 
+// chooseSpread chooses room for a job's tasks; where the operators ask for it, for a service so that
+// at most half of it stands in one zone, as far as there is room for that. It is a wish: what
+// has no other room is placed all the same.
+func (r *round) chooseSpread(du *due, where []*fit.Node, z *fit.Zones, also func(*fit.Node) bool) []*fit.Node {
+	j, spec := du.job, &du.job.Spec
+	if !r.op.SpreadServices || spec.Kind != wire.KindService || spec.Spread || spec.OneZone || spec.Tasks < 2 {
+		return r.stock.Choose(&du.Ask, where, z, also)
+	}
+	wish := fit.Zones{Count: map[string]int{}, Known: true, Limit: (spec.Tasks + 1) / 2}
+	for i := range spec.Tasks {
+		if t := r.task(j, i); t.State == world.Bound && r.world.Machines[t.Machine] != nil {
+			wish.Count[r.world.Machines[t.Machine].Zone]++
+		}
+	}
+	picks := r.stock.Choose(&du.Ask, where, &wish, also)
+	return append(picks, r.stock.Choose(&du.Ask, where, z, also)...)
+}
+
 // trusted gives those of some machines whose zones are trusted with services; all of them
 // if there is none, as a replica in a zone that may go again is better than none.
 func (r *round) trusted(list []*fit.Node) []*fit.Node {
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -440,3 +440,32 @@
 		t.Errorf("room is made by zone: %v, want 4 in both", zones)
 	}
 }
+
+// TestServicesSpreadWhereAsked: with the operators' setting at most half of a service that does not
+// ask for it stands in one zone while another has room; without another all of it is placed.
+func TestServicesSpreadWhereAsked(t *testing.T) {
+	for _, zones := range []int{1, 2} {
+		for _, spreads := range []bool{false, true} {
+			f := newField(t)
+			for i := range 40 {
+				if i%3 < zones {
+					f.machine(i, false)
+				}
+			}
+			s := wire.Spec{ID: "run-000007", Kind: wire.KindService, Priority: wire.PriorityProduction, Tasks: 6, CPUs: 5, GPUs: 1, MemoryGB: 38}
+			f.job(s)
+			count, placed := map[string]int{}, 0
+			for i, e := range f.engines {
+				e.op.SpreadServices = spreads
+				_, binds := f.round(i)
+				for _, b := range binds {
+					count[f.world.Machines[b.machine].Zone]++
+					placed++
+				}
+			}
+			if placed != 6 || spreads && zones == 2 && (count["east"] != 3 || count["west"] != 3) {
+				t.Errorf("%d zones with room, spread %v: %v", zones, spreads, count)
+			}
+		}
+	}
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -336,6 +336,14 @@
 		}
 		b.must = i < short
 	}
+	reserve := p.reserve()
+	for _, z := range slices.Sorted(maps.Keys(reserve)) {
+		for range int(math.Ceil(reserve[z] - d.Spare.Zones[z])) {
+			if open(&wire.Spec{}, z, anyKind) == nil {
+				break
+			}
+		}
+	}
 	for range int(math.Ceil(step.spot - d.Spot.Room - 0.5)) {
 		if open(&wire.Spec{Spot: true}, "", anyKind) == nil {
 			break
@@ -422,6 +430,34 @@
 	return step{max(float64(p.op.PoolStep), deviation(room)), deviation(whole), deviation(spot)}
 }
 
+// reserve is the room to keep in each zone for the loss of another, in machines: so that what
+// the zone with most services holds of them, times the set share, has room in the others
+// together. While a zone is out it is there to be used. Callers hold the world's lock.
+func (p *Pool) reserve() map[string]float64 {
+	out := map[string]float64{}
+	if p.op.ZoneReserve == 0 || len(p.cut) > 0 {
+		return out
+	}
+	held, most := map[string]float64{}, 0.0
+	for _, m := range p.world.Machines {
+		for _, b := range m.Bound {
+			if s := &b.Job.Spec; s.Kind == wire.KindService && s.Zone == "" {
+				held[m.Zone] += p.roomOf(s) / float64(s.Tasks)
+				most = max(most, held[m.Zone])
+			}
+		}
+	}
+	for _, t := range p.world.Types {
+		for _, z := range t.Zones {
+			out[z] = most * p.op.ZoneReserve
+		}
+	}
+	for z := range out {
+		out[z] /= float64(max(len(out)-1, 1))
+	}
+	return out
+}
+
 // besides tells whether a job takes no GPU though machines have them: it finds
 // its room beside other work as a rule, and no machine is kept for it.
 func (p *Pool) besides(s *wire.Spec) bool {
@@ -672,13 +708,15 @@
 	}
 	var items []store.Item
 	step := p.step(now)
+	reserve, zones := p.reserve(), map[string]float64{}
+	maps.Copy(zones, d.Spare.Zones)
 	left := map[bool]float64{true: d.Spot.Room - step.spot, false: min(d.Spare.Room-step.room, float64(d.Spare.Whole)-step.whole)}
 	for _, n := range names {
 		m := p.world.Machines[n]
 		if total <= p.op.PoolMin {
 			break
 		}
-		if m == nil || !m.Up || m.Drain || wanted[kind{m.Type, m.Zone, m.Spot}] || left[m.Spot] < 1 || now.Sub(p.idle[n]) < config.Seconds(p.op.PoolHoldS) {
+		if m == nil || !m.Up || m.Drain || wanted[kind{m.Type, m.Zone, m.Spot}] || left[m.Spot] < 1 || !m.Spot && reserve[m.Zone] > 0 && zones[m.Zone]-1 < reserve[m.Zone] || now.Sub(p.idle[n]) < config.Seconds(p.op.PoolHoldS) {
 			continue
 		}
 		rec := m.MachineRecord
@@ -688,6 +726,9 @@
 			Ops:    []wire.Op{store.Set(world.MachineKey(n), rec)},
 		})
 		left[m.Spot]--
+		if !m.Spot {
+			zones[m.Zone]--
+		}
 		total--
 	}
 	p.world.RUnlock()
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -91,6 +91,43 @@
 	}
 }
 
+// TestReserveCoversALostZone: with a reserve set, what is free once all that waits has room covers
+// the set share of the services of any zone in the zones that are left, however they stand; while
+// a zone is out none is kept, and by default none at all.
+func TestReserveCoversALostZone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := testPool(nil)
+		p.op.PoolMin, p.op.PoolStep = 0, 0
+		share := rapid.Float64Range(0, 1).Draw(t, "share")
+		p.op.ZoneReserve = share
+		held := map[string]float64{}
+		job := &world.Job{JobRecord: world.JobRecord{Spec: wire.Spec{ID: "run-1", Kind: wire.KindService, Tasks: 8, CPUs: 8, GPUs: 1, MemoryGB: 60}}}
+		for i := range rapid.IntRange(0, 40).Draw(t, "machines") {
+			m := &world.Machine{Name: fmt.Sprintf("vm-%d", i), MachineRecord: world.MachineRecord{Type: "m", Zone: rapid.SampledFrom(zones).Draw(t, "zone"), Up: true}}
+			m.Bound = map[world.TaskRef]world.Binding{}
+			for k := range rapid.IntRange(0, 4).Draw(t, "replicas") {
+				ref := world.TaskRef{Job: fmt.Sprintf("run-%d", i), Index: k}
+				m.Bound[ref] = world.Binding{Ref: ref, Job: job}
+				held[m.Zone] += 0.25
+			}
+			p.world.Machines[m.Name] = m
+		}
+		spare := map[string]float64{}
+		for _, b := range p.bins(place.Demand{At: time.Now()}) {
+			spare[b.zone]++
+		}
+		for _, z := range zones {
+			if left := spare["east"] + spare["west"] - spare[z]; left+1 < share*held[z] {
+				t.Errorf("%v machines are free outside of %s, which holds services for %v and may lose %.2f of them", left, z, held[z], share)
+			}
+		}
+		p.cut = []string{"east"}
+		if n := len(p.bins(place.Demand{At: time.Now()})); n > 0 {
+			t.Errorf("%d machines are kept while a zone is out", n)
+		}
+	})
+}
+
 // TestGangIsCollectedInOneZone: once every zone has shown to have less than a gang needs,
 // only the rest of it is asked for, where it has some of its room, as often as a refusal
 // allows. The pool once asked one zone after the other for the whole gang, got a machine
