Zones: what came back is told apart; pairs of faults at every stage of a loss

Need: an operator who looks in the morning wants one line that says what a zone's loss came to; and every stage of it must stand further faults. Change: when a zone serves again each node logs 'zone is back' with how many of its machines worked on, restarted, were given up, or are new (pure, zone.Roll). Tests: silence.TestWhatCameBackIsToldApart (generated), standin.TestFaultsAtEveryStage.

--- a/internal/place/silent.go
+++ b/internal/place/silent.go
@@ -39,7 +39,7 @@
 			continue
 		}
 		s := r.fleet.Look(name, token)
-		list = append(list, silence.Machine{Name: name, Zone: m.Zone, Part: m.Part, Up: m.Up, Heard: s.Heard, Owned: r.owned[m.Part],
+		list = append(list, silence.Machine{Name: name, Zone: m.Zone, Part: m.Part, Up: m.Up, Session: s.Session, Heard: s.Heard, Owned: r.owned[m.Part],
 			Mute: s.Mute, Late: r.late(m), Bound: len(m.Bound), Moves: r.movable(m, open), Inside: r.inside(m.Zone)})
 		switch {
 		case !m.Up && s.Heard.IsZero():
@@ -62,6 +62,9 @@
 			zoneState.WithLabelValues(c.Zone, s.String()).Set(map[bool]float64{true: 1}[s == c.To])
 		}
 	}
+	for name, b := range j.Back {
+		r.log.Info("zone is back", "zone", name, "worked on", b.Worked, "restarted", b.Restarted, "gone", b.Gone, "new", b.New)
+	}
 	for _, name := range j.Probe {
 		r.fleet.Kick(name)
 	}
--- a/internal/silence/silence.go
+++ b/internal/silence/silence.go
@@ -46,6 +46,8 @@
 	Zone string
 	Part int
 	Up   bool
+	// Session is its worker's, as last heard.
+	Session uint64
 	// Heard is when it was last heard, zero if never; Owned since when this node
 	// could have heard it.
 	Heard, Owned time.Time
@@ -86,10 +88,11 @@
 // Judgement is what follows from one look at a node's machines.
 type Judgement struct {
 	Delete []Victim
-	Probe  []string       // to be asked directly
-	Ask    []string       // to be asked for with the peers; the answer goes to Told
-	Give   map[int]string // parts whose workers report to another node
-	Zones  []zone.Change  // zones whose state changed
+	Probe  []string             // to be asked directly
+	Ask    []string             // to be asked for with the peers; the answer goes to Told
+	Give   map[int]string       // parts whose workers report to another node
+	Zones  []zone.Change        // zones whose state changed
+	Back   map[string]zone.Back // of those that serve again, what became of their machines
 }
 
 // word is what the peers said of a silent machine; no node: none has heard it.
@@ -107,6 +110,7 @@
 	asked  time.Time
 	zones  zone.Zones
 	leaves map[string]*leave
+	rolls  map[string]zone.Roll // of zones that were cut off and do not serve again yet
 }
 
 // leave is how far the machines of a zone that is cut off, whose services move, are given up.
@@ -158,14 +162,38 @@
 	return whole, w.zones.Look(now, heard)
 }
 
+// back keeps who stood in a zone when it was cut off, and tells them apart when it serves again.
+func (w *Watch) back(changed []zone.Change, list []Machine) map[string]zone.Back {
+	out := map[string]zone.Back{}
+	for _, c := range changed {
+		_, kept := w.rolls[c.Zone]
+		if c.To != zone.Serving && (c.To != zone.Cut || kept) {
+			continue
+		}
+		now := zone.Roll{}
+		for i := range list {
+			if m := &list[i]; m.Zone == c.Zone && m.Up {
+				now[m.Name] = m.Session
+			}
+		}
+		if c.To == zone.Cut {
+			w.rolls[c.Zone] = now
+		} else if kept {
+			out[c.Zone] = w.rolls[c.Zone].Returned(now)
+			delete(w.rolls, c.Zone)
+		}
+	}
+	return out
+}
+
 // Judge looks at all machines of a node. holds tells what one that is to be given up holds.
 func (w *Watch) Judge(now time.Time, list []Machine, holds func(*Machine) []evacuate.Task) Judgement {
 	var j Judgement
 	if w.words == nil {
-		w.words, w.leaves = map[string]word{}, map[string]*leave{}
+		w.words, w.leaves, w.rolls = map[string]word{}, map[string]*leave{}, map[string]zone.Roll{}
 	}
 	whole, changed := w.look(now, list)
-	j.Zones = changed
+	j.Zones, j.Back = changed, w.back(changed, list)
 	var silent []*Machine
 	for i := range list {
 		m := &list[i]
--- a/internal/silence/silence_test.go
+++ b/internal/silence/silence_test.go
@@ -11,6 +11,7 @@
 
 	"sableusher/internal/evacuate"
 	"sableusher/internal/seeded"
+	"sableusher/internal/zone"
 )
 
 func TestMain(m *testing.M) { seeded.Main(m) }
@@ -235,3 +236,55 @@
 		}
 	}
 }
+
+// TestWhatCameBackIsToldApart: when a zone serves again each of its machines counts once, as one
+// that worked on, restarted, was given up or came meanwhile, however often it was cut off.
+func TestWhatCameBackIsToldApart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSite(2, rapid.IntRange(8, 40).Draw(t, "each"))
+		s.run(0, 20)
+		in := func() (out []*Machine) {
+			for i := range s.list {
+				if s.list[i].Zone == "zone-0" {
+					out = append(out, &s.list[i])
+				}
+			}
+			return out
+		}
+		before := len(in())
+		now := 20
+		for range rapid.IntRange(1, 2).Draw(t, "cuts") {
+			for _, m := range in() {
+				s.silent[m.Name] = true
+			}
+			s.run(now, now+20)
+			now += 20
+			clear(s.silent)
+			s.run(now, now+1)
+			now++
+		}
+		restarted := 0
+		for _, m := range in() {
+			if rapid.Bool().Draw(t, "restarts") {
+				m.Session++
+				restarted++
+			}
+		}
+		left := len(in())
+		fresh := rapid.IntRange(0, 5).Draw(t, "new")
+		for i := range fresh {
+			at := start.Add(time.Duration(now) * time.Second)
+			s.list = append(s.list, Machine{Name: fmt.Sprint("new-", i), Zone: "zone-0", Up: true, Session: 1, Owned: at, Heard: at})
+		}
+		var told []zone.Back
+		for ; now < 600; now++ {
+			if b, ok := s.step(start.Add(time.Duration(now) * time.Second)).Back["zone-0"]; ok {
+				told = append(told, b)
+			}
+		}
+		want := zone.Back{Worked: left - restarted, Restarted: restarted, Gone: before - left, New: fresh}
+		if len(told) != 1 || told[0] != want {
+			t.Fatalf("told %v, want %v once", told, want)
+		}
+	})
+}
--- a/internal/standin/zone_test.go
+++ b/internal/standin/zone_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"regexp"
@@ -32,14 +33,20 @@
 	return j.buf.Write(b)
 }
 
+var openLine = regexp.MustCompile(`msg="session open" node=(\S+) .*incarnation=(\S+)`)
+
 var zoneLine = regexp.MustCompile(`msg="zone changes" node=(\S+) zone=(\S+) state=(\S+)`)
 
-// zones gives the states that each node has told of each zone, in turn.
+// zones gives the states that each node's last process has told of each zone, in turn.
 func (j *journal) zones() map[string][]string {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	out := map[string][]string{}
+	out, process := map[string][]string{}, map[string]string{}
 	for lines := bufio.NewScanner(&j.buf); lines.Scan(); {
+		if m := openLine.FindStringSubmatch(lines.Text()); m != nil && process[m[1]] != m[2] {
+			process[m[1]] = m[2]
+			maps.DeleteFunc(out, func(who string, _ []string) bool { return strings.HasPrefix(who, m[1]+" ") })
+		}
 		if m := zoneLine.FindStringSubmatch(lines.Text()); m != nil {
 			out[m[1]+" "+m[2]] = append(out[m[1]+" "+m[2]], m[3])
 		}
@@ -110,6 +117,55 @@
 	}
 }
 
+// TestFaultsAtEveryStage: a zone is cut off and comes back, and at a stage of that two further
+// faults strike at once: each pair of them at each stage is a day. STAGE_DAYS=40 plays all, CI
+// a few that have each stage and each fault.
+func TestFaultsAtEveryStage(t *testing.T) {
+	const away, short = 40 * time.Second, 15 * time.Second
+	stages := []struct {
+		name string
+		at   time.Duration // after the cut began
+	}{{"doubted", 2 * time.Second}, {"cut", 10 * time.Second}, {"lost", 32 * time.Second}, {"returning", away + 3*time.Second}}
+	faults := []struct {
+		name string
+		do   func(*Region)
+	}{
+		{"a controller ends", func(r *Region) {
+			r.Kill(0)
+			r.wg.Go(func() {
+				time.Sleep(5 * time.Second)
+				r.Start(0)
+			})
+		}},
+		{"state out", func(r *Region) { r.State.Outage(time.Now().Add(short)) }},
+		{"cloud out", func(r *Region) { r.CloudOutage(time.Now().Add(short)) }},
+		{"second zone", func(r *Region) { r.CutZone("west", false, time.Now().Add(short)) }},
+		{"a controller cut off", func(r *Region) {
+			r.Net.Cut(Cut{From: "node-2", To: "*", Hold: true, Until: time.Now().Add(short)})
+		}},
+	}
+	var pairs [][2]int
+	for i := range faults {
+		for j := range i {
+			pairs = append(pairs, [2]int{j, i})
+		}
+	}
+	for day := range min(number("STAGE_DAYS", 4), len(stages)*len(pairs)) {
+		// Seven has no divisor with the number of pairs in common, so that all come in turn.
+		stage, pair := stages[day%len(stages)], pairs[(day/len(stages)+7*day)%len(pairs)]
+		t.Run(fmt.Sprintf("%s, %s, %s", stage.name, faults[pair[0]].name, faults[pair[1]].name), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				zoneDay(t, func(r *Region) {
+					r.CutZone("north", true, time.Now().Add(away))
+					time.Sleep(stage.at)
+					faults[pair[0]].do(r)
+					faults[pair[1]].do(r)
+				})
+			})
+		})
+	}
+}
+
 func zoneDay(t *testing.T, trouble func(*Region)) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var logged journal
--- a/internal/zone/zone.go
+++ b/internal/zone/zone.go
@@ -67,6 +67,36 @@
 	return t.Up >= tuning.CutMachines && float64(t.Heard) < share*float64(t.Up)
 }
 
+// Roll is who stood in a zone: its machines, with their workers' sessions.
+type Roll map[string]uint64
+
+// Back tells the machines of a zone that returned apart.
+type Back struct {
+	Worked    int // went on: same session, their tasks live
+	Restarted int // lost their tasks, by lease or power: a newer session
+	Gone      int // given up meanwhile, here or by the cloud
+	New       int // not there before
+}
+
+// Returned compares those who stood in a zone when it was cut off with those who stand there now.
+func (r Roll) Returned(now Roll) Back {
+	b := Back{New: len(now)}
+	for name, session := range r {
+		s, there := now[name]
+		switch {
+		case !there:
+			b.Gone++
+			continue
+		case s > session:
+			b.Restarted++
+		default:
+			b.Worked++
+		}
+		b.New--
+	}
+	return b
+}
+
 // Rules are the deployment's times.
 type Rules struct {
 	Lease time.Duration // that an answer to a report renews
