Preempt: what is urgent passes to the next part only while it finds no room

The turn passed in the midst of stops, so that room was made twice. Change: a job's turn passes 4 s after it first found no room, and only for urgent work.

--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -65,6 +65,7 @@
 	aimed     map[string]time.Time // the aim that each of the others can meet with the room there is
 	aimedAt   time.Time
 	lacked    time.Time            // when a service last found no room
+	lacks     map[string]time.Time // since when a job finds none for a task
 	served    floor.Book           // what arrived lately of classes and teams
 	owed      map[floor.Whom]bool  // who of them has had least of what is due
 	turns     map[string]time.Time // when time alone next moves a waiting job in line
@@ -117,7 +118,7 @@
 func New(set *config.Settings, op *config.Operator, w *world.World, m *member.Member, f *fleet.Fleet, c *store.Committer, reader store.Reader, peers Peers, log *slog.Logger) *Engine {
 	return &Engine{
 		set: set, op: op, world: w, member: m, fleet: f, commit: c, quota: quota.New(set.Deployment.Teams, w), repeats: repeats.New(op.Classes), log: log,
-		busy: map[string]bool{}, moving: map[uint64]*change{}, backoff: map[string]retry{}, waits: map[string]wait{}, look: map[string]struct{}{}, valued: map[string]valued{},
+		busy: map[string]bool{}, moving: map[uint64]*change{}, backoff: map[string]retry{}, waits: map[string]wait{}, lacks: map[string]time.Time{}, look: map[string]struct{}{}, valued: map[string]valued{},
 		forming: map[string]time.Time{}, told: map[string]time.Time{}, held: map[string]reserve{}, owned: map[int]time.Time{}, gone: map[string]bool{}, buried: map[string]time.Time{},
 		turns: map[string]time.Time{}, moves: map[string]bool{}, refused: map[string]time.Time{}, fenced: map[int]time.Time{}, reader: reader, peers: peers,
 		silence: silence.Watch{Rules: silence.Rules{Report: set.Report(), Lease: set.Lease()}},
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -191,6 +191,7 @@
 	maps.DeleteFunc(r.valued, func(id string, _ valued) bool { return over(id) })
 	maps.DeleteFunc(r.backoff, func(id string, _ retry) bool { return over(id) })
 	maps.DeleteFunc(r.waits, func(id string, _ wait) bool { return over(id) })
+	maps.DeleteFunc(r.lacks, func(id string, _ time.Time) bool { return over(id) || r.world.Jobs[id].Pending() == 0 })
 	maps.DeleteFunc(r.told, func(id string, _ time.Time) bool { return over(id) })
 	maps.DeleteFunc(r.forming, func(id string, _ time.Time) bool { return over(id) })
 	maps.DeleteFunc(r.buried, func(_ string, at time.Time) bool { return r.now.Sub(at) > tuning.BuriedFor })
@@ -543,6 +544,9 @@
 		return
 	}
 	r.waiting(j, "no room", nil)
+	if _, ok := r.lacks[spec.ID]; !ok {
+		r.lacks[spec.ID] = r.now
+	}
 	if spec.Kind == wire.KindService {
 		r.lacked = r.now
 	}
@@ -719,6 +723,7 @@
 	r.bound++
 	r.took(du, b, attempt)
 	delete(r.waits, j.Spec.ID)
+	delete(r.lacks, j.Spec.ID)
 	if n.Kept == j.Spec.ID {
 		delete(r.held, n.M.Name)
 		r.stock.Keep(n.M.Name, "")
--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -1,8 +1,6 @@
 package place
 
 import (
-	"time"
-
 	"sableusher/internal/fit"
 	"sableusher/internal/preempt"
 	"sableusher/internal/tuning"
@@ -24,10 +22,7 @@
 	if r.stops >= tuning.RoundStops || r.rigid[du.rank].Cover(&du.Ask) {
 		return false
 	}
-	// The parts take turns: where an owner knows that machines of its part are not to be had, which
-	// others take for ready, all would wait for it and nobody make room.
-	turn := int(r.now.Unix() / int64(tuning.PreemptTurn/time.Second))
-	first := (r.first(du.job) + i + turn) % r.world.Size
+	first := (r.first(du.job) + i + r.turnOf(du)) % r.world.Size
 	for k := range r.world.Size {
 		p := (first + k) % r.world.Size
 		_, mine := r.tokens[p]
@@ -54,6 +49,18 @@
 	return false
 }
 
+// turnOf moves the part at which urgent work that finds no room has it made, every PreemptTurn that
+// it still finds none: an owner may know that the machines of its part are not to be had which
+// others take for ready, and all would wait for it. By the clock alone the turns passed in the
+// midst of stops, and room was made twice.
+func (r *round) turnOf(du *due) int {
+	since, ok := r.lacks[du.job.Spec.ID]
+	if !ok || du.rank > wire.Rank(wire.PriorityHigh) {
+		return 0
+	}
+	return int(r.now.Sub(since) / tuning.PreemptTurn)
+}
+
 // freed counts with a job's tasks the machines on which room is being freed for it.
 func (r *round) freed(job string, z *fit.Zones) {
 	for name, h := range r.held {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -382,8 +382,8 @@
 	// sooner than a stop pays: that costs a save, a start elsewhere, a fetch and the work
 	// since the last save.
 	Passing = 3 * time.Minute
-	// PreemptTurn is how long room for a task is left to one part to be made, in whole seconds:
-	// longer than a stop, its report and the change of the records take as a rule.
+	// PreemptTurn is how long room for urgent work is left to one part to be made: longer than a
+	// stop, its report and the change of the records take as a rule.
 	PreemptTurn = 4 * time.Second
 	// PreemptHold is how long room freed for a task is kept for it.
 	PreemptHold = 12 * time.Second
