--- /dev/null
+++ b/internal/cell/handover_test.go
@@ -0,0 +1,376 @@
+package cell
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	"sableusher/internal/seeded"
+)
+
+func TestMain(m *testing.M) { seeded.Main(m) }
+
+const tasks = 1
+
+var (
+	none [tasks]bool
+	all  = func() (out [tasks]bool) {
+		for i := range out {
+			out[i] = true
+		}
+		return out
+	}()
+)
+
+// side is one cell in the model: what its state service holds of the job, and what runs.
+type side struct {
+	line    Line
+	clean   bool // nothing of an earlier epoch runs any more
+	settled bool // home: it has the host's inventory of this epoch
+	home    Home
+	next    uint64 // numbers used
+	guests  Guests
+	on      [tasks]bool
+	done    [tasks]bool // as its records have it, while the right is there
+}
+
+// message is anything between the two.
+type message struct {
+	env    Envelope
+	toHost bool
+	kind   string // ask, word, have, list?, list
+	ask    Ask
+	word   Word
+	list   string // an inventory as it is told apart by the model's set of messages
+	guests Guests
+}
+
+func (m message) key() string {
+	return fmt.Sprint(m.env, m.toHost, m.kind, m.ask, m.word, m.list)
+}
+
+// world is a state of the model: both cells, all messages that may still arrive, and the user.
+type world struct {
+	cells  [2]side // home, host
+	kept   [2]*side
+	lost   [2]int // losses of writes left
+	gives  int
+	quiet  bool // no recalls, no cancellation
+	sent   map[string]message
+	asked  bool        // the user has asked to cancel
+	ran    [tasks]bool // completed somewhere, at any time
+	told   Result
+	forgot bool // home has lost writes, and with them perhaps what it told
+	broken string
+}
+
+func (w world) key() string {
+	msgs := slices.Sorted(maps.Keys(w.sent))
+	k := func(s *side) string {
+		if s == nil {
+			return "-"
+		}
+		return fmt.Sprint(*s)
+	}
+	return fmt.Sprint(k(&w.cells[0]), k(&w.cells[1]), k(w.kept[0]), k(w.kept[1]), w.lost, w.gives, msgs, w.asked, w.ran, w.told)
+}
+
+func (w world) copy() world {
+	w.sent = maps.Clone(w.sent)
+	w.cells[1].guests.List = slices.Clone(w.cells[1].guests.List)
+	return w
+}
+
+// defect is what a test plants.
+type defect string
+
+// steps gives every state that may come next, by the name of what happened.
+func (w world) steps(bad defect) map[string]world {
+	out := map[string]world{}
+	add := func(name string, change func(*world)) {
+		n := w.copy()
+		change(&n)
+		out[name] = n
+	}
+	send := func(n *world, m message) {
+		from := 0
+		if !m.toHost {
+			from = 1
+		}
+		m.env = n.cells[from].line.Envelope()
+		n.sent[m.key()] = m
+	}
+	home, host := &w.cells[0], &w.cells[1]
+	free := func(s *side) bool { return s.clean && s.on == none }
+	homeMay := home.clean && (home.settled || bad == "home starts before it has the inventory") && home.home.State == Here
+
+	// Home's leader.
+	if homeMay && free(home) && w.gives > 0 {
+		if h, ok := home.home.Give(home.next + 1); ok {
+			add("give", func(n *world) { n.cells[0].home, n.gives = h, n.gives-1; n.cells[0].next++ })
+		}
+	}
+	if a, ok := home.home.Ask(); ok && home.settled {
+		add("ask", func(n *world) { send(n, message{toHost: true, kind: "ask", ask: a}) })
+		if !home.home.Recalled && !w.quiet {
+			add("recall", func(n *world) { n.cells[0].home.Recalled = true })
+		}
+		if bad == "home takes back what it hears nothing of" {
+			add("take back", func(n *world) { n.cells[0].home.State = Here })
+		}
+	}
+	if !w.asked && !w.quiet {
+		add("cancel", func(n *world) { n.asked = true; n.cells[0].home.Cancelled = true })
+	}
+	if !home.settled && home.clean {
+		add("ask for the inventory", func(n *world) { send(n, message{toHost: true, kind: "list?"}) })
+	}
+	if w.told == None {
+		switch h := home.home; {
+		case h.State == Ended:
+			add("tell", func(n *world) {
+				n.told = h.Result
+				if h.Result == Done && n.ran != all || h.Result == Cancelled && (home.on != none || host.on != none) {
+					n.broken = "told " + fmt.Sprint(h.Result) + " too soon"
+				}
+			})
+		case homeMay && free(home) && home.done == all:
+			add("end here", func(n *world) { n.cells[0].home.State, n.cells[0].home.Result, n.told = Ended, Done, Done })
+		case homeMay && free(home) && h.Cancelled:
+			add("end here cancelled", func(n *world) { n.cells[0].home.State, n.cells[0].home.Result, n.told = Ended, Cancelled, Cancelled })
+		}
+	}
+	// The host's.
+	for _, x := range host.guests.List {
+		bound := 0
+		for _, on := range host.on {
+			if on {
+				bound++
+			}
+		}
+		if bad == "the host releases what still runs" {
+			bound = 0
+		}
+		if !host.clean {
+			continue
+		}
+		if g, ok := host.guests.Release(x.Number, bound); ok {
+			add(fmt.Sprint("release ", x.Number), func(n *world) { n.cells[1].guests = g; n.cells[1].done = none })
+		}
+		if host.done == all {
+			if g, ok := host.guests.End(x.Number, Done, bound); ok {
+				add(fmt.Sprint("done ", x.Number), func(n *world) { n.cells[1].guests = g; n.cells[1].done = none })
+			}
+		} else if x.Cancelled {
+			if g, ok := host.guests.End(x.Number, Cancelled, bound); ok {
+				add(fmt.Sprint("cancelled ", x.Number), func(n *world) { n.cells[1].guests = g; n.cells[1].done = none })
+			}
+		}
+		if x.Status == Over {
+			add(fmt.Sprint("word ", x.Number), func(n *world) { send(n, message{kind: "word", word: host.guests.Word(x.Number)}) })
+		}
+	}
+	// Tasks start where the right is, run, and end.
+	guest := uint64(0)
+	for _, x := range host.guests.List {
+		if host.guests.Startable(x.Number, host.line.Own) || bad == "a restored host goes on with its guests" && x.Status == Held && !x.Cancelled {
+			guest = x.Number
+		}
+	}
+	may := [2]bool{homeMay && !home.home.Cancelled, guest > 0 && (host.clean || bad == "a restored host goes on with its guests")}
+	for c := range w.cells {
+		for i := range tasks {
+			s := &w.cells[c]
+			switch {
+			case s.on[i]:
+				add(fmt.Sprint("end of task ", c, i), func(n *world) { n.cells[c].on[i], n.cells[c].done[i], n.ran[i] = false, true, true })
+				add(fmt.Sprint("loss of task ", c, i), func(n *world) { n.cells[c].on[i] = false })
+			case may[c] && !s.done[i]:
+				add(fmt.Sprint("start of task ", c, i), func(n *world) {
+					n.cells[c].on[i] = true
+					if n.cells[1-c].on[i] {
+						n.broken = "ran_twice"
+					}
+					if n.told != None && !n.forgot {
+						n.broken = "ran after it was told"
+					}
+				})
+			}
+		}
+		// A state service is restored from an earlier state; what ran goes on until the cell is clean.
+		if w.kept[c] == nil && w.lost[c] > 0 {
+			add(fmt.Sprint("snapshot ", c), func(n *world) { s := n.cells[c]; n.kept[c] = &s })
+		}
+		if w.kept[c] != nil && w.lost[c] > 0 {
+			add(fmt.Sprint("restore ", c), func(n *world) {
+				own, on := n.cells[c].line.Own+1, n.cells[c].on
+				n.cells[c] = *n.kept[c]
+				n.kept[c], n.lost[c], n.forgot = nil, n.lost[c]-1, n.forgot || c == 0
+				s := &n.cells[c]
+				s.line.Own, s.on, s.clean, s.settled = own, on, false, c == 1
+				s.guests.List = slices.Clone(s.guests.List)
+			})
+		}
+		if s := &w.cells[c]; !s.clean && (s.on == none || bad == "a restored cell counts as clean at once") {
+			add(fmt.Sprint("clean ", c), func(n *world) {
+				s := &n.cells[c]
+				s.clean, s.done = true, none
+				s.guests = s.guests.Clean(s.line.Own)
+				// The machines are gone, and what was done is done again.
+			})
+		} else if !s.clean {
+			add(fmt.Sprint("machines returned ", c), func(n *world) { n.cells[c].on = none })
+		}
+	}
+	// A message arrives, and may arrive again.
+	for _, k := range slices.Sorted(maps.Keys(w.sent)) {
+		m := w.sent[k]
+		to := 0
+		if m.toHost {
+			to = 1
+		}
+		line, ok := w.cells[to].line.Takes(m.env)
+		if bad == "messages of earlier epochs count" {
+			ok = true
+		}
+		add("arrives "+k, func(n *world) {
+			s := &n.cells[to]
+			s.line = line
+			if !ok {
+				if m.toHost && m.kind != "have" {
+					send(n, message{kind: "hello"}) // so that its sender learns the epoch
+				}
+				return
+			}
+			switch m.kind {
+			case "ask":
+				if !s.clean {
+					return
+				}
+				if bad == "numbers fence nothing" {
+					s.guests.High = 0
+				}
+				var word Word
+				s.guests, word = s.guests.Hear(m.ask, s.line.Own, true)
+				send(n, message{kind: "word", word: word})
+			case "word":
+				if !s.settled && bad != "home starts before it has the inventory" {
+					return
+				}
+				if s.home.Has(m.word) {
+					send(n, message{toHost: true, kind: "have", word: m.word})
+					return
+				}
+				s.home = s.home.Hear(m.word)
+			case "have":
+				s.guests = s.guests.Drop(m.word.Number)
+			case "list?":
+				if s.clean {
+					send(n, message{kind: "list", guests: s.guests, list: fmt.Sprint(s.guests)})
+				}
+			case "list":
+				if !s.settled && s.clean {
+					s.settled = true
+					s.next = max(s.next, m.guests.High)
+					s.home = s.home.Settle(m.guests.List)
+				}
+			}
+		})
+	}
+	return out
+}
+
+func first(lost [2]int, gives int) world {
+	w := world{lost: lost, gives: gives, sent: map[string]message{}}
+	for c := range w.cells {
+		w.cells[c].line, w.cells[c].clean, w.cells[c].settled = Line{1, 1}, true, true
+	}
+	return w
+}
+
+// explore visits every state from a first one, up to a bound, and gives the first broken rule with
+// the way there, or a state from which the user is never told.
+func explore(t *testing.T, start world, bad defect, most int) (states int, fault string) {
+	type way struct {
+		from int
+		step string
+	}
+	list, seen, ways := []world{start}, map[string]int{start.key(): 0}, []way{{-1, ""}}
+	next := [][]int{}
+	trace := func(i int) (out []string) {
+		for ; ways[i].from >= 0; i = ways[i].from {
+			out = append(out, ways[i].step)
+		}
+		slices.Reverse(out)
+		return out
+	}
+	for i := 0; i < len(list); i++ {
+		steps := list[i].steps(bad)
+		next = append(next, nil)
+		for _, name := range slices.Sorted(maps.Keys(steps)) {
+			n := steps[name]
+			if n.broken != "" {
+				return len(list), fmt.Sprintf("%s: %q", n.broken, append(trace(i), name))
+			}
+			k := n.key()
+			j, known := seen[k]
+			if !known {
+				if len(list) >= most {
+					t.Fatalf("more than %d states", most)
+				}
+				j = len(list)
+				seen[k] = j
+				list = append(list, n)
+				ways = append(ways, way{i, name})
+			}
+			next[i] = append(next[i], j)
+		}
+	}
+	// From every state the user can still be told.
+	good := make([]bool, len(list))
+	before := make([][]int, len(list))
+	var queue []int
+	for i, w := range list {
+		for _, j := range next[i] {
+			before[j] = append(before[j], i)
+		}
+		if w.told != None {
+			good[i] = true
+			queue = append(queue, i)
+		}
+	}
+	for len(queue) > 0 {
+		i := queue[0]
+		queue = queue[1:]
+		for _, j := range before[i] {
+			if !good[j] {
+				good[j] = true
+				queue = append(queue, j)
+			}
+		}
+	}
+	if i := slices.Index(good, false); i >= 0 {
+		return len(list), fmt.Sprintf("nobody is ever told: %q", trace(i))
+	}
+	return len(list), ""
+}
+
+// TestHandOverModel visits every state of two cells and one job: no task runs in both, nothing is
+// told before it is so, nothing runs after, and from every state the user can still be told.
+func TestHandOverModel(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		lost  [2]int
+		gives int
+		quiet bool
+	}{{"two transfers, cancelled and recalled", [2]int{0, 0}, 2, false}, {"the host loses writes", [2]int{0, 1}, 2, true}, {"home loses writes", [2]int{1, 0}, 2, true}} {
+		start := first(c.lost, c.gives)
+		start.quiet = c.quiet
+		n, fault := explore(t, start, "", 400_000)
+		t.Logf("%s: %d states", c.name, n)
+		if fault != "" {
+			t.Errorf("%s: %s", c.name, fault)
+		}
+	}
+}
