Cells: what a cell is to another, and where work that could leave is offered

Need: a cell that is silent, comes back, drains or is forgotten must be told apart without anybody's hand, and work must not herd or go to and fro. Pure; nothing is wired.

--- a/internal/cell/handover.go
+++ b/internal/cell/handover.go
@@ -1,8 +1,10 @@
 // Package cell hands jobs over between cells: deployments that each have controllers, state
 // service, cloud and machines of their own.
 //
-// It owns the machine of a hand-over, and nothing else yet (docs/cells-design.md). It is pure:
-// records and messages go in, records and messages come out. A record is changed by its
+// It owns three decisions, and so far nothing that acts on them (docs/cells-design.md): how a job
+// is handed over (handover), what another cell is to this one (member), and where work that could
+// leave is best offered (choose). All are pure: records, messages and the time go in, records and
+// messages come out. A record is changed by its
 // cell's leader under compare-and-set before anything that follows from it is told or done;
 // a message is a hint to look at a record, and may be lost, doubled, late or out of order. It
 // carries safety invariants 17 and 18: at any moment at most one cell holds the right to
--- a/internal/cell/handover_test.go
+++ b/internal/cell/handover_test.go
@@ -51,8 +51,8 @@
 	return fmt.Sprint(m.env, m.toHost, m.kind, m.ask, m.word, m.list)
 }
 
-// world is a state of the model: both cells, all messages that may still arrive, and the user.
-type world struct {
+// model is a state of the model: both cells, all messages that may still arrive, and the user.
+type model struct {
 	cells  [2]side // home, host
 	kept   [2]*side
 	lost   [2]int // losses of writes left
@@ -66,7 +66,7 @@
 	broken string
 }
 
-func (w world) key() string {
+func (w model) key() string {
 	msgs := slices.Sorted(maps.Keys(w.sent))
 	k := func(s *side) string {
 		if s == nil {
@@ -77,7 +77,7 @@
 	return fmt.Sprint(k(&w.cells[0]), k(&w.cells[1]), k(w.kept[0]), k(w.kept[1]), w.lost, w.gives, msgs, w.asked, w.ran, w.told)
 }
 
-func (w world) copy() world {
+func (w model) copy() model {
 	w.sent = maps.Clone(w.sent)
 	w.cells[1].guests.List = slices.Clone(w.cells[1].guests.List)
 	return w
@@ -87,14 +87,14 @@
 type defect string
 
 // steps gives every state that may come next, by the name of what happened.
-func (w world) steps(bad defect) map[string]world {
-	out := map[string]world{}
-	add := func(name string, change func(*world)) {
+func (w model) steps(bad defect) map[string]model {
+	out := map[string]model{}
+	add := func(name string, change func(*model)) {
 		n := w.copy()
 		change(&n)
 		out[name] = n
 	}
-	send := func(n *world, m message) {
+	send := func(n *model, m message) {
 		from := 0
 		if !m.toHost {
 			from = 1
@@ -109,37 +109,37 @@
 	// Home's leader.
 	if homeMay && free(home) && w.gives > 0 {
 		if h, ok := home.home.Give(home.next + 1); ok {
-			add("give", func(n *world) { n.cells[0].home, n.gives = h, n.gives-1; n.cells[0].next++ })
+			add("give", func(n *model) { n.cells[0].home, n.gives = h, n.gives-1; n.cells[0].next++ })
 		}
 	}
 	if a, ok := home.home.Ask(); ok && home.settled {
-		add("ask", func(n *world) { send(n, message{toHost: true, kind: "ask", ask: a}) })
+		add("ask", func(n *model) { send(n, message{toHost: true, kind: "ask", ask: a}) })
 		if !home.home.Recalled && !w.quiet {
-			add("recall", func(n *world) { n.cells[0].home.Recalled = true })
+			add("recall", func(n *model) { n.cells[0].home.Recalled = true })
 		}
 		if bad == "home takes back what it hears nothing of" {
-			add("take back", func(n *world) { n.cells[0].home.State = Here })
+			add("take back", func(n *model) { n.cells[0].home.State = Here })
 		}
 	}
 	if !w.asked && !w.quiet {
-		add("cancel", func(n *world) { n.asked = true; n.cells[0].home.Cancelled = true })
+		add("cancel", func(n *model) { n.asked = true; n.cells[0].home.Cancelled = true })
 	}
 	if !home.settled && home.clean {
-		add("ask for the inventory", func(n *world) { send(n, message{toHost: true, kind: "list?"}) })
+		add("ask for the inventory", func(n *model) { send(n, message{toHost: true, kind: "list?"}) })
 	}
 	if w.told == None {
 		switch h := home.home; {
 		case h.State == Ended:
-			add("tell", func(n *world) {
+			add("tell", func(n *model) {
 				n.told = h.Result
 				if h.Result == Done && n.ran != all || h.Result == Cancelled && (home.on != none || host.on != none) {
 					n.broken = "told " + fmt.Sprint(h.Result) + " too soon"
 				}
 			})
 		case homeMay && free(home) && home.done == all:
-			add("end here", func(n *world) { n.cells[0].home.State, n.cells[0].home.Result, n.told = Ended, Done, Done })
+			add("end here", func(n *model) { n.cells[0].home.State, n.cells[0].home.Result, n.told = Ended, Done, Done })
 		case homeMay && free(home) && h.Cancelled:
-			add("end here cancelled", func(n *world) { n.cells[0].home.State, n.cells[0].home.Result, n.told = Ended, Cancelled, Cancelled })
+			add("end here cancelled", func(n *model) { n.cells[0].home.State, n.cells[0].home.Result, n.told = Ended, Cancelled, Cancelled })
 		}
 	}
 	// The host's.
@@ -157,19 +157,19 @@
 			continue
 		}
 		if g, ok := host.guests.Release(x.Number, bound); ok {
-			add(fmt.Sprint("release ", x.Number), func(n *world) { n.cells[1].guests = g; n.cells[1].done = none })
+			add(fmt.Sprint("release ", x.Number), func(n *model) { n.cells[1].guests = g; n.cells[1].done = none })
 		}
 		if host.done == all {
 			if g, ok := host.guests.End(x.Number, Done, bound); ok {
-				add(fmt.Sprint("done ", x.Number), func(n *world) { n.cells[1].guests = g; n.cells[1].done = none })
+				add(fmt.Sprint("done ", x.Number), func(n *model) { n.cells[1].guests = g; n.cells[1].done = none })
 			}
 		} else if x.Cancelled {
 			if g, ok := host.guests.End(x.Number, Cancelled, bound); ok {
-				add(fmt.Sprint("cancelled ", x.Number), func(n *world) { n.cells[1].guests = g; n.cells[1].done = none })
+				add(fmt.Sprint("cancelled ", x.Number), func(n *model) { n.cells[1].guests = g; n.cells[1].done = none })
 			}
 		}
 		if x.Status == Over {
-			add(fmt.Sprint("word ", x.Number), func(n *world) { send(n, message{kind: "word", word: host.guests.Word(x.Number)}) })
+			add(fmt.Sprint("word ", x.Number), func(n *model) { send(n, message{kind: "word", word: host.guests.Word(x.Number)}) })
 		}
 	}
 	// Tasks start where the right is, run, and end.
@@ -185,10 +185,10 @@
 			s := &w.cells[c]
 			switch {
 			case s.on[i]:
-				add(fmt.Sprint("end of task ", c, i), func(n *world) { n.cells[c].on[i], n.cells[c].done[i], n.ran[i] = false, true, true })
-				add(fmt.Sprint("loss of task ", c, i), func(n *world) { n.cells[c].on[i] = false })
+				add(fmt.Sprint("end of task ", c, i), func(n *model) { n.cells[c].on[i], n.cells[c].done[i], n.ran[i] = false, true, true })
+				add(fmt.Sprint("loss of task ", c, i), func(n *model) { n.cells[c].on[i] = false })
 			case may[c] && !s.done[i]:
-				add(fmt.Sprint("start of task ", c, i), func(n *world) {
+				add(fmt.Sprint("start of task ", c, i), func(n *model) {
 					n.cells[c].on[i] = true
 					if n.cells[1-c].on[i] {
 						n.broken = "ran_twice"
@@ -201,10 +201,10 @@
 		}
 		// A state service is restored from an earlier state; what ran goes on until the cell is clean.
 		if w.kept[c] == nil && w.lost[c] > 0 {
-			add(fmt.Sprint("snapshot ", c), func(n *world) { s := n.cells[c]; n.kept[c] = &s })
+			add(fmt.Sprint("snapshot ", c), func(n *model) { s := n.cells[c]; n.kept[c] = &s })
 		}
 		if w.kept[c] != nil && w.lost[c] > 0 {
-			add(fmt.Sprint("restore ", c), func(n *world) {
+			add(fmt.Sprint("restore ", c), func(n *model) {
 				own, on := n.cells[c].line.Own+1, n.cells[c].on
 				n.cells[c] = *n.kept[c]
 				n.kept[c], n.lost[c], n.forgot = nil, n.lost[c]-1, n.forgot || c == 0
@@ -214,14 +214,14 @@
 			})
 		}
 		if s := &w.cells[c]; !s.clean && (s.on == none || bad == "a restored cell counts as clean at once") {
-			add(fmt.Sprint("clean ", c), func(n *world) {
+			add(fmt.Sprint("clean ", c), func(n *model) {
 				s := &n.cells[c]
 				s.clean, s.done = true, none
 				s.guests = s.guests.Clean(s.line.Own)
 				// The machines are gone, and what was done is done again.
 			})
 		} else if !s.clean {
-			add(fmt.Sprint("machines returned ", c), func(n *world) { n.cells[c].on = none })
+			add(fmt.Sprint("machines returned ", c), func(n *model) { n.cells[c].on = none })
 		}
 	}
 	// A message arrives, and may arrive again.
@@ -235,7 +235,7 @@
 		if bad == "messages of earlier epochs count" {
 			ok = true
 		}
-		add("arrives "+k, func(n *world) {
+		add("arrives "+k, func(n *model) {
 			s := &n.cells[to]
 			s.line = line
 			if !ok {
@@ -282,8 +282,8 @@
 	return out
 }
 
-func first(lost [2]int, gives int) world {
-	w := world{lost: lost, gives: gives, sent: map[string]message{}}
+func first(lost [2]int, gives int) model {
+	w := model{lost: lost, gives: gives, sent: map[string]message{}}
 	for c := range w.cells {
 		w.cells[c].line, w.cells[c].clean, w.cells[c].settled = Line{1, 1}, true, true
 	}
@@ -292,12 +292,12 @@
 
 // explore visits every state from a first one, up to a bound, and gives the first broken rule with
 // the way there, or a state from which the user is never told.
-func explore(t *testing.T, start world, bad defect, most int) (states int, fault string) {
+func explore(t *testing.T, start model, bad defect, most int) (states int, fault string) {
 	type way struct {
 		from int
 		step string
 	}
-	list, seen, ways := []world{start}, map[string]int{start.key(): 0}, []way{{-1, ""}}
+	list, seen, ways := []model{start}, map[string]int{start.key(): 0}, []way{{-1, ""}}
 	next := [][]int{}
 	trace := func(i int) (out []string) {
 		for ; ways[i].from >= 0; i = ways[i].from {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -563,6 +563,29 @@
 	DeadlineGuardMin = 10 * time.Second
 )
 
+// Cells.
+const (
+	// CellDoubt is for how long a cell may not be heard before nothing new is given to it: a few
+	// digests, and longer than a leader takes to be replaced.
+	CellDoubt = 10 * time.Second
+	// CellLost is for how long it may not be heard before what was about to be given to it goes
+	// elsewhere: all controllers may have been restarted meanwhile.
+	CellLost = time.Minute
+	// CellProbation is how long a cell that returned is watched first.
+	CellProbation = 30 * time.Second
+	// DigestLife is how old a digest may be to be chosen by.
+	DigestLife = 6 * time.Second
+	// DigestShapes bounds the shapes of room that a digest tells, of which each takes some 60 bytes.
+	DigestShapes = 24
+	// SpillMargin is how much sooner a job must be expected to start elsewhere, all costs counted,
+	// to be given away: a part of its wait here, and never less than SpillLeast.
+	SpillMargin = 0.25
+	SpillLeast  = 5 * time.Second
+	// SpillFlight bounds the tasks that are offered to one cell and not yet answered, as a share of
+	// the room that its digest tells.
+	SpillFlight = 0.5
+)
+
 // Peers.
 const (
 	// PeerTimeout bounds a question to another node: it is a hint, not worth waiting for.
