--- a/internal/cell/choose.go
+++ b/internal/cell/choose.go
@@ -28,6 +28,7 @@
 	Waits  []float64 // by rank, in seconds: how long work without room is expected to wait
 	Images []string  // held on many machines
 	FetchS float64   // seconds for a GB of image
+	BootS  float64   // until a machine that is rented is up, in seconds
 	Guests int       // tasks of others that it takes at most beside those it has
 }
 
@@ -44,7 +45,6 @@
 	ID      string
 	Need    world.Amount // of each task
 	Tasks   int
-	Whole   bool     // all tasks at once, as a gang
 	OneZone bool     // all in one zone
 	Types   []string // allowed types; none: any
 	Spot    bool     // may use spot machines
@@ -85,8 +85,8 @@
 }
 
 // starts gives after how many seconds a job is expected to start in a cell; ok is false if it
-// is not to be offered there: no fresh word, no more guests, too much on its way, or no room for a
-// job that needs it whole.
+// is not to be offered there: no fresh word, no more guests, or too much on its way. Where there is
+// no room for all of it now it waits its turn and a boot.
 func (c *Candidate) starts(w *Work, now time.Time) (after float64, ok bool) {
 	d := &c.Digest
 	if d.At.IsZero() || now.Sub(d.At) > tuning.DigestLife || c.Flight+w.Tasks > d.Guests {
@@ -99,10 +99,10 @@
 	room := d.holds(w) - c.Flight
 	switch {
 	case room >= w.Tasks && float64(c.Flight+w.Tasks) <= tuning.SpillFlight*float64(d.holds(w)):
-	case w.Whole || w.Rank >= len(d.Waits):
+	case w.Rank >= len(d.Waits):
 		return 0, false
 	default:
-		after += d.Waits[w.Rank]
+		after += d.Waits[w.Rank] + d.BootS
 	}
 	return after, true
 }
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -41,6 +41,21 @@
 	SpreadServices bool `xml:"spread-services"`
 	// Classes of jobs whose tasks may fail so often only; none by default.
 	Classes []Class `xml:"classes>class"`
+	// CellName is this deployment among its operator's cells, CellEpoch counts how often its state
+	// service lost writes, from 1 on; both are empty where there are no others.
+	CellName  string `xml:"cell-name"`
+	CellEpoch uint64 `xml:"cell-epoch"`
+	// CellGuests is how many tasks of others' jobs may be here at once.
+	CellGuests int `xml:"cell-guests"`
+	// Cells are the others.
+	Cells []Cell `xml:"cells>cell"`
+}
+
+// Cell is another deployment that work is exchanged with.
+type Cell struct {
+	Name      string  `xml:"name,attr"`
+	Nodes     string  `xml:"nodes,attr"`      // its controllers' back endpoints, separated by spaces
+	TransferS float64 `xml:"transfer-s,attr"` // what moving a job there costs, in seconds
 }
 
 // Class limits the repeats of tasks of a class.
@@ -74,7 +89,7 @@
 	op := Operator{}
 	if base != nil {
 		op = *base
-		op.Classes = nil // a list is replaced, not added to
+		op.Classes, op.Cells = nil, nil // a list is replaced, not added to
 	}
 	if err := checkElements(b); err != nil {
 		return nil, fmt.Errorf("operators' settings: %w", err)
@@ -111,20 +126,61 @@
 		num(fmt.Sprintf("class name=%q pause-s", c.Name), c.PauseS, 0, tuning.MaxPauseS)
 		num(fmt.Sprintf("class name=%q pause-max-s", c.Name), c.PauseMaxS, c.PauseS, tuning.MaxPauseS)
 	}
+	errs = append(errs, op.checkCells()...)
 	if err := oneLine(errs); err != nil {
 		return nil, fmt.Errorf("operators' settings: %w", err)
 	}
 	return &op, nil
 }
 
+// checkCells finds faults in what is said of cells.
+func (op *Operator) checkCells() (errs []error) {
+	fault := func(format string, a ...any) { errs = append(errs, fmt.Errorf(format, a...)) }
+	if len(op.Cells) > tuning.MaxCells {
+		fault("<cells>: more than %d", tuning.MaxCells)
+	}
+	if on := op.CellName != "" || op.CellEpoch > 0 || len(op.Cells) > 0; on && (!cellName(op.CellName) || op.CellEpoch == 0) {
+		fault("<cell-name> and <cell-epoch>: both are needed, a name of letters, digits and dashes and a number from 1")
+	}
+	if op.CellGuests < 0 || op.CellGuests > tuning.MaxTasks {
+		fault("<cell-guests>: %d is not within 0 to %d", op.CellGuests, tuning.MaxTasks)
+	}
+	names := map[string]bool{op.CellName: true}
+	for _, c := range op.Cells {
+		if !cellName(c.Name) || names[c.Name] {
+			fault("<cell name=%q>: no name of letters, digits and dashes, or one named twice", c.Name)
+		}
+		names[c.Name] = true
+		if len(strings.Fields(c.Nodes)) == 0 {
+			fault("<cell name=%q>: nodes names no controller", c.Name)
+		}
+		if math.IsNaN(c.TransferS) || c.TransferS < 0 || c.TransferS > 3600 {
+			fault("<cell name=%q>: transfer-s %v is not within 0 to 3600", c.Name, c.TransferS)
+		}
+	}
+	return errs
+}
+
+// cellName tells whether a name may stand in keys of records.
+func cellName(s string) bool {
+	for _, c := range s {
+		if c != '-' && (c < '0' || c > '9') && (c < 'a' || c > 'z') && (c < 'A' || c > 'Z') {
+			return false
+		}
+	}
+	return s != "" && len(s) <= tuning.MaxCellName
+}
+
 func checkElements(b []byte) error {
 	known, lists := map[string]bool{}, map[string]string{}
+	items := map[string]reflect.Type{}
 	t := reflect.TypeFor[Operator]()
 	for i := range t.NumField() {
 		name, item, list := strings.Cut(t.Field(i).Tag.Get("xml"), ">")
 		known[name] = true
 		if list {
 			lists[name] = item
+			items[name] = t.Field(i).Type.Elem()
 		}
 	}
 	dec := xml.NewDecoder(bytes.NewReader(b))
@@ -144,7 +200,7 @@
 		case xml.StartElement:
 			n := el.Name.Local
 			if depth == 2 && n == lists[within] {
-				if err := checkAttributes(el); err != nil {
+				if err := checkAttributes(el, items[within]); err != nil {
 					return err
 				}
 				depth++
@@ -170,9 +226,8 @@
 
 // checkAttributes refuses an item of a list that lacks an attribute, has an unknown one,
 // or one twice. Each is needed: a pause left out is no pause that anyone chose.
-func checkAttributes(el xml.StartElement) error {
+func checkAttributes(el xml.StartElement, t reflect.Type) error {
 	var want []string
-	t := reflect.TypeFor[Class]()
 	for i := range t.NumField() {
 		name, _, _ := strings.Cut(t.Field(i).Tag.Get("xml"), ",")
 		want = append(want, name)
--- a/internal/intake/awaits.go
+++ b/internal/intake/awaits.go
@@ -9,7 +9,6 @@
 	"sableusher/internal/store"
 	"sableusher/internal/tuning"
 	"sableusher/internal/wire"
-	"sableusher/internal/world"
 )
 
 // sameAwaits tells whether two submissions await the same jobs, in any order.
@@ -17,21 +16,6 @@
 	return len(a) == len(b) && slices.Equal(slices.Sorted(slices.Values(a)), slices.Sorted(slices.Values(b)))
 }
 
-// lay chooses the layout of a new job's records; it says why if the job's
-// description is more than one record may hold, now or under the limits that are
-// known to come.
-func lay(rec *world.JobRecord, level int, fit world.Fit) string {
-	bare := world.BareSize(*rec)
-	width := fit.Width(&rec.Spec, bare)
-	if width == 0 {
-		return "its description, awaits included, takes more than the state service holds in one record"
-	}
-	if level >= tuning.LevelPipelines && !fit.Holds(&rec.Spec, bare) {
-		rec.Width = width
-	}
-	return ""
-}
-
 // awaits checks the jobs that a submission awaits: each must have been accepted,
 // by any node and any version. It answers the request if it may not go on.
 func (in *Intake) awaits(ctx context.Context, w http.ResponseWriter, spec *wire.Spec, level int) bool {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -174,7 +174,7 @@
 		}
 		rec := world.JobRecord{Spec: *spec, AtMs: time.Now().UnixMilli()}
 		if why == "" {
-			why = lay(&rec, level, fit)
+			why = rec.Lay(level, fit)
 		}
 		// A job that is known stands, whatever the repeated request says now.
 		if why != "" {
@@ -249,6 +249,10 @@
 		return wire.Status{}, fmt.Errorf("barrier: %w", err)
 	}
 	in.world.RLock()
+	if j := in.world.Jobs[id]; j != nil && j.Known && j.Guest != nil {
+		in.world.RUnlock()
+		return wire.Status{}, errGuest
+	}
 	if j := in.world.Jobs[id]; j != nil && j.Known {
 		st, undecided, doubtful := in.live(id, j), in.world.Undecided(j), in.doubtful(j)
 		in.world.RUnlock()
@@ -277,18 +281,21 @@
 // record says so it must not be called waiting.
 var errUndecided = errors.New("what it awaits is being looked at")
 
+// errGuest: the job was taken from another cell, which alone answers its user.
+var errGuest = errors.New("another cell answers for it")
+
 // live gives the state of a live job. Callers hold the world's lock.
 func (in *Intake) live(id string, j *world.Job) wire.Status {
 	st := wire.Status{ID: id, Status: wire.JobPending, Done: j.Done, Running: j.Bound}
 	switch {
-	case j.Cancelled() && (!j.Certain || j.Bound == 0 && in.view.Revision() >= j.Stamp):
+	case j.Cancelled() && (!j.Certain || j.Left() && in.view.Revision() >= j.Stamp):
 		// Told once no task is left, never before: nothing that renews a lease
 		// somewhere behind a cut can then keep one beyond its time. A binding in a
 		// further record may lie just before the cancellation: the view holds it then.
 		st.Status = j.Ending()
 	case j.Done == j.Spec.Tasks:
 		st.Status = wire.JobDone
-	case j.Bound > 0:
+	case j.Bound > 0, j.Away != nil:
 		st.Status = wire.JobRunning
 	}
 	return st
@@ -391,7 +398,7 @@
 	for {
 		in.world.RLock()
 		j := in.world.Jobs[id]
-		over := j == nil || !j.Known || !j.Cancelled() || j.Bound == 0
+		over := j == nil || !j.Known || !j.Cancelled() || j.Left()
 		in.world.RUnlock()
 		if over {
 			return true
@@ -419,7 +426,7 @@
 	marked.CancelMs = max(time.Now().UnixMilli(), 1)
 	var level []wire.Guard
 	if marked.Certain = in.world.Level >= tuning.LevelCertain; marked.Certain {
-		sure = j.Bound == 0 && j.Records() == 1 // its tasks all stand in the record that is marked
+		sure = j.Left() && j.Records() == 1 // its tasks all stand in the record that is marked
 	} else {
 		sure, level = true, []wire.Guard{{Key: world.LevelKey, Stamp: in.world.LevelStamp}}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"sableusher/internal/pipeline"
 	"sableusher/internal/place"
 	"sableusher/internal/pool"
+	"sableusher/internal/spill"
 	"sableusher/internal/store"
 	"sableusher/internal/tuning"
 	"sableusher/internal/upgrade"
@@ -36,6 +37,9 @@
 	// Reached tells when a node last answered this one.
 	Reached(node string) time.Time
 	Run(ctx context.Context) error
+	spill.Line
+	// Cells sets what answers other cells.
+	Cells(a peer.Answer)
 }
 
 // New makes a controller. inc tells this process from all others under its
@@ -64,9 +68,13 @@
 	machines := pool.New(set, op, view, members, engine, cloud, commit, log)
 	outcomes := pipeline.New(view, client, log)
 	levels := upgrade.New(set, level, view, members, commit, client, log)
+	cells := spill.New(op, d.Teams, view, members, commit, peers, log)
+	if len(op.Cells) > 0 {
+		peers.Cells(cells.Answer)
+	}
 	users := intake.New(set, op, view, client, commit, cache, workers, log)
 	return &Node{handler: users.Handler(), runs: []func(context.Context) error{
-		cache.Run, commit.Run, members.Run, workers.Run, engine.Run, engine.Learn, engine.Hints, machines.Run, peers.Run, outcomes.Run, levels.Run,
+		cache.Run, commit.Run, members.Run, workers.Run, engine.Run, engine.Learn, engine.Hints, machines.Run, peers.Run, outcomes.Run, levels.Run, cells.Run,
 	}}, nil
 }
 
--- a/internal/place/changes.go
+++ b/internal/place/changes.go
@@ -160,6 +160,12 @@
 // final gives the ops that turn a job's records into its final one.
 func (r *round) final(j *world.Job, status string, done int) []wire.Op {
 	id := j.Spec.ID
+	if g := j.Guest; g != nil {
+		// Its home alone answers its user, and is told from this until it has it.
+		over := world.OverRecord{Job: id, Status: status, Done: done}
+		ops := []wire.Op{store.Set(world.OverKey(g.Cell, g.Number), over), store.Drop(world.JobKey(id))}
+		return append(ops, r.drops(j, len(ops))...)
+	}
 	ops := []wire.Op{
 		store.Set(world.FinalKey(id), world.FinalRecord{Status: status, Tasks: j.Spec.Tasks, Done: done, AtMs: r.now.UnixMilli()}),
 		store.Drop(world.JobKey(id)),
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -153,7 +153,7 @@
 // enter puts a job in line, where it belongs now, or takes it out.
 func (r *round) enter(id string) {
 	j := r.world.Jobs[id]
-	if j == nil || !j.Startable() || j.Pending() == 0 {
+	if j == nil || !j.Startable() || !r.ours(j) || j.Pending() == 0 {
 		r.line.Drop(id)
 		delete(r.turns, id)
 		return
@@ -163,6 +163,24 @@
 	r.line.Put(order.Key{Rank: r.rank(j), Assured: r.assured[id], Owed: r.due(j), Late: r.behind(j), Size: r.size(j), Pressing: pressing, Deadline: deadline.UnixNano(), Since: j.SinceMs(), ID: id}, j)
 }
 
+// ours tells whether the right to start a job is with this cell as it is now: a guest that was taken
+// under an earlier epoch may have been released since, in writes that are lost; and a cell
+// that lost writes starts nothing before it knows what the others hold of its own.
+func (r *round) ours(j *world.Job) bool {
+	if j.Guest != nil {
+		return r.op.CellEpoch > 0 && j.Guest.Epoch == r.op.CellEpoch
+	}
+	if r.op.CellEpoch <= 1 {
+		return true // it has lost nothing yet
+	}
+	for _, c := range r.op.Cells {
+		if rec := r.world.Cells[c.Name]; rec == nil || rec.Own != r.op.CellEpoch || !rec.Settled {
+			return false
+		}
+	}
+	return true
+}
+
 // besides finds what work on GPUs takes of the rest of a machine for each: the
 // most that a gang or a service takes, and what arrays take on average.
 func (r *round) besides() {
@@ -690,9 +708,9 @@
 	if r.ending[j.Spec.ID] {
 		return false // in the same change as its end it would be bound to a job that is over
 	}
-	if j.Waits() {
+	if j.Waits() || j.Away != nil || !r.ours(j) {
 		// Every way to a machine comes through here: queues may err, this may not.
-		r.log.Error("a job that waits for others was about to start", "job", j.Spec.ID)
+		r.log.Error("a job that waits for others, or is with another cell, was about to start", "job", j.Spec.ID)
 		return false
 	}
 	if j.Spec.Kind != wire.KindGang && r.bound >= tuning.RoundTasks || !r.quota.Allowed(charge, team, r.use(charge, team).Plus(du.Need, 1)) {
--- a/internal/place/settle.go
+++ b/internal/place/settle.go
@@ -213,7 +213,7 @@
 		case j.Done == j.Spec.Tasks:
 			ops = r.final(j, wire.JobDone, j.Done)
 		// No task can be bound after the cancellation, and the view holds all before it.
-		case j.Cancelled() && j.Bound == 0 && r.member.Seen(j.Stamp):
+		case j.Cancelled() && j.Left() && r.member.Seen(j.Stamp):
 			ops = r.final(j, j.Ending(), j.Done)
 		}
 		if len(ops) > 0 {
--- a/internal/standin/region.go
+++ b/internal/standin/region.go
@@ -17,6 +17,7 @@
 	"sableusher/internal/config"
 	"sableusher/internal/node"
 	"sableusher/internal/peer"
+	"sableusher/internal/spill"
 	"sableusher/internal/tuning"
 	"sableusher/internal/wire"
 	"sableusher/internal/world"
@@ -24,6 +25,7 @@
 
 // Controller is a node under test, with the process that runs it.
 type Controller struct {
+	answer  peer.Answer // to other cells, if it is one of several
 	Set     *config.Settings
 	Address string
 	Level   int // of the version that it runs; set before Start
@@ -39,6 +41,21 @@
 	self *Controller
 }
 
+// Cells keeps what answers other cells.
+func (l lines) Cells(a peer.Answer) {
+	l.r.mu.Lock()
+	defer l.r.mu.Unlock()
+	l.self.answer = a
+}
+
+// Exchange asks another cell, over the links between them.
+func (l lines) Exchange(ctx context.Context, to config.Cell, m spill.Message) (spill.Message, error) {
+	if l.r.Cells == nil {
+		return spill.Message{}, errReset
+	}
+	return l.r.Cells.exchange(ctx, to.Name, m)
+}
+
 func (l lines) Run(ctx context.Context) error {
 	<-ctx.Done()
 	return ctx.Err()
@@ -101,8 +118,11 @@
 	State  *State
 	Oracle *Oracle
 	Log    *slog.Logger
-	// Classes are the operators' limits of repeats, as every node that starts reads them.
-	Classes []config.Class
+	// Operators changes the operators' settings, as every node that starts reads them.
+	Operators func(*config.Operator)
+	// Cells are the region's and others, if it is one of several; Prefix tells its machines apart.
+	Cells  *Cells
+	Prefix string
 
 	ctx   context.Context
 	wg    sync.WaitGroup
@@ -138,8 +158,13 @@
 
 // NewRegion starts a region: cloud, state service and network, without nodes.
 func NewRegion(ctx context.Context, set *config.Settings, types []wire.MachineType, each int, rnd *rand.Rand, log *slog.Logger) *Region {
+	return newRegion(ctx, set, types, each, rnd, log, NewOracle(set))
+}
+
+// newRegion starts a region under an oracle that may watch others too.
+func newRegion(ctx context.Context, set *config.Settings, types []wire.MachineType, each int, rnd *rand.Rand, log *slog.Logger, oracle *Oracle) *Region {
 	d := &set.Deployment
-	r := &Region{Set: set, Net: NewNet(rand.New(rand.NewPCG(rnd.Uint64(), 1))), Oracle: NewOracle(set), Log: log,
+	r := &Region{Set: set, Net: NewNet(rand.New(rand.NewPCG(rnd.Uint64(), 1))), Oracle: oracle, Log: log,
 		State: NewState(d.State.RPS, d.State.WriteRPS, d.State.TxnOps, d.State.ValueKB, 600),
 		ctx:   ctx, rnd: rnd, types: types, capacity: map[string]int{}, charters: map[string][]string{},
 		workers: map[string]*worker{}, closed: map[string]time.Time{}, saved: map[world.TaskRef]bool{}, runS: map[string]float64{}, faults: map[world.TaskRef]int{}}
@@ -178,7 +203,9 @@
 	if err != nil {
 		panic(err)
 	}
-	op.Classes = r.Classes
+	if r.Operators != nil {
+		r.Operators(op)
+	}
 	r.mu.Lock()
 	inc := r.rnd.Uint64N(1<<40) + 1
 	r.mu.Unlock()
@@ -531,7 +558,7 @@
 	r.capacity[key] -= n
 	names := []string{}
 	for range n {
-		id := fmt.Sprintf("vm-%06d", len(r.charters)*100+len(names)+1)
+		id := fmt.Sprintf("%svm-%06d", r.Prefix, len(r.charters)*100+len(names)+1)
 		m := &rented{Listed: wire.Listed{ID: id, Address: strings.Replace(id, "vm-", "worker-", 1) + ":9000", Type: q.Type, Zone: q.Zone,
 			Spot: q.Spot, State: wire.MachineBooting}, rental: q.Name, key: key, since: now}
 		if r.rnd.IntN(20) > 0 { // a few never come up
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"sort"
@@ -96,6 +97,27 @@
 	wire.Reply(w, http.StatusBadRequest, nil)
 }
 
+// Snapshot keeps what stands now.
+func (s *State) Snapshot() map[string]wire.Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.rows)
+}
+
+// Restore puts back what a snapshot holds, as after a loss of writes; sessions are gone. Nobody
+// may be using the service meanwhile.
+func (s *State) Restore(rows map[string]wire.Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows, s.holds, s.log = map[string]wire.Row{}, map[uint64]*hold{}, nil
+	s.rev++
+	for k, r := range rows {
+		if r.Hold == 0 {
+			s.rows[k] = r
+		}
+	}
+}
+
 // Outage refuses all requests until a time.
 func (s *State) Outage(until time.Time) {
 	s.mu.Lock()
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -262,9 +262,9 @@
 // Forms of records and pipelines.
 const (
 	// Level is the newest form of records that this version reads and, once all
-	// nodes do, writes: 3 is counted failures, 2 cancellations that are told once no task
+	// nodes do, writes: 4 is jobs handed over between cells, 3 counted failures, 2 cancellations that are told once no task
 	// is left, 1 pipelines and split records, 0 what came before.
-	Level = 3
+	Level = 4
 	// LevelPipelines is the first one with jobs that await others.
 	LevelPipelines = 1
 	// LevelCertain is the first one at which every node tells a cancellation only once
@@ -272,6 +272,8 @@
 	LevelCertain = 2
 	// LevelRepeats is the first one that counts the failures of tasks in jobs' records.
 	LevelRepeats = 3
+	// LevelCells is the first one at which a job's record may say that it is with another cell.
+	LevelCells = 4
 	// OutcomeRetry is the pause before a final record that was not there, or could
 	// not be read, is asked for again.
 	OutcomeRetry = 300 * time.Millisecond
@@ -565,6 +567,21 @@
 
 // Cells.
 const (
+	// MaxCells bounds the other cells of the operators' file, MaxCellName their names, in bytes.
+	MaxCells    = 64
+	MaxCellName = 32
+	// CellExchange is the interval at which a leader speaks with each other cell, CellTimeout how
+	// long that may take, CellAsks how many transfers one message is about: some 50 KiB.
+	CellExchange = time.Second
+	CellTimeout  = 3 * time.Second
+	CellAsks     = 48
+	// CellGifts bounds the jobs that one look gives away, SpillAfter is how long a job stays first:
+	// most start within it.
+	CellGifts  = 16
+	SpillAfter = 3 * time.Second
+	// DigestHeld is the reciprocal of the share of machines that must hold an image for it to
+	// count as held in a cell.
+	DigestHeld = 4
 	// CellDoubt is for how long a cell may not be heard before nothing new is given to it: a few
 	// digests, and longer than a leader takes to be replaced.
 	CellDoubt = 10 * time.Second
--- a/internal/world/layout.go
+++ b/internal/world/layout.go
@@ -331,6 +331,21 @@
 	return 0
 }
 
+// Lay chooses the layout of a new job's records; it says why if the job's
+// description is more than one record may hold, now or under the limits that are
+// known to come.
+func (r *JobRecord) Lay(level int, fit Fit) string {
+	bare := BareSize(*r)
+	width := fit.Width(&r.Spec, bare)
+	if width == 0 {
+		return "its description, awaits included, takes more than the state service holds in one record"
+	}
+	if level >= tuning.LevelPipelines && !fit.Holds(&r.Spec, bare) {
+		r.Width = width
+	}
+	return ""
+}
+
 // Holds tells whether old records of a job stay within it whatever becomes of
 // its tasks.
 func (f Fit) Holds(s *wire.Spec, bare int) bool {
--- a/internal/world/records.go
+++ b/internal/world/records.go
@@ -22,6 +22,8 @@
 	quotaKeys  = "s/q/"
 	rentKeys   = "s/r/"
 	fineKeys   = "s/u/"
+	cellKeys   = "s/x/"
+	overKeys   = "s/y/"
 	CatalogKey = "s/catalog"
 	typeKeys   = "s/catalog/"
 	LevelKey   = "s/level"
@@ -43,7 +45,11 @@
 func LearnPieceKey(node string, i int) string {
 	return fmt.Sprintf("%s%s/%d", learnKeys, node, i)
 }
-func FinalKey(id string) string { return finalKeys + id }
+func FinalKey(id string) string  { return finalKeys + id }
+func CellKey(cell string) string { return cellKeys + cell }
+func OverKey(cell string, number uint64) string {
+	return fmt.Sprintf("%s%s/%d", overKeys, cell, number)
+}
 
 // Leader is the pseudo part whose owner leads: it sizes the fleet.
 const Leader = -1
@@ -123,6 +129,39 @@
 	// cancelled job that ended itself: a task of it has no repeat left.
 	Failures []int `cbor:"f,omitempty"`
 	Failed   bool  `cbor:"e,omitempty"`
+	// From LevelCells on. Away: the right to start it is with another cell. Guest: it was taken
+	// from another cell, which alone answers its user.
+	Away   *Transfer `cbor:"a,omitempty"`
+	AwayMs int64     `cbor:"am,omitempty"` // since when it is
+	Guest  *Transfer `cbor:"h,omitempty"`
+}
+
+// Transfer is a job's passage between two cells, as either of them keeps it in the job's record.
+type Transfer struct {
+	Cell     string `cbor:"c"` // the other one
+	Number   uint64 `cbor:"n"` // given by home, never used twice between the two
+	Epoch    uint64 `cbor:"e"` // this cell's own when it wrote this
+	Recalled bool   `cbor:"r,omitempty"`
+}
+
+// CellRecord is what a cell keeps of another one; its leader writes it.
+type CellRecord struct {
+	Own      uint64 `cbor:"o"`           // this cell's epoch when it was written
+	Other    uint64 `cbor:"t,omitempty"` // the highest heard of the other
+	Next     uint64 `cbor:"n,omitempty"` // the last number given to a transfer there
+	High     uint64 `cbor:"h,omitempty"` // the highest taken from there
+	Standing int    `cbor:"s,omitempty"` // cell.Standing
+	SinceMs  int64  `cbor:"m,omitempty"` // of the standing
+	Returns  int    `cbor:"r,omitempty"`
+	Settled  bool   `cbor:"k,omitempty"` // its inventory under these epochs is in
+	Fenced   uint64 `cbor:"f,omitempty"` // its epochs up to this one were forgotten
+}
+
+// OverRecord is how a guest ended, kept until home has it.
+type OverRecord struct {
+	Job    string `cbor:"j"`
+	Status string `cbor:"s"`
+	Done   int    `cbor:"d"`
 }
 
 // ChunkRecord is a further chunk of tasks.
