Pool: machines that the cloud has ceased to list are given up

Ruled out: lifting the guard after a time (a cut of hours from all workers would end all that lives on). Change: the leader's list, every 5 s, gives up what has been there for more than twice its lag and is missing three times in a row; its deletion proves it, as ever. Test: standin.TestZonesGoAndComeBack, everything is gone; it fails without the change.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -45,6 +45,7 @@
 	cut     []string           // zones that are cut off: what is rented there could not report
 	idle    map[string]time.Time
 	unknown map[string]time.Time
+	missing map[string]int // lists in a row that lacked a machine which has long been listed
 	listed  time.Time
 	arrived map[string]arrival
 
@@ -77,7 +78,7 @@
 // New makes a pool.
 func New(set *config.Settings, op *config.Operator, w *world.World, m *member.Member, e *place.Engine, c *Cloud, commit *store.Committer, log *slog.Logger) *Pool {
 	return &Pool{set: set, op: op, world: w, member: m, engine: e, cloud: c, commit: commit, log: log,
-		refused: map[kind]refusal{}, short: map[kind]time.Time{}, idle: map[string]time.Time{}, unknown: map[string]time.Time{}, arrived: map[string]arrival{}}
+		refused: map[kind]refusal{}, short: map[kind]time.Time{}, idle: map[string]time.Time{}, unknown: map[string]time.Time{}, missing: map[string]int{}, arrived: map[string]arrival{}}
 }
 
 // Run keeps the fleet until ctx ends.
@@ -735,8 +736,8 @@
 	p.doAll(ctx, items, "machine not drained")
 }
 
-// list compares the cloud's list with the records: machines that stopped are
-// deleted, machines that nobody knows are recorded, to be used or returned.
+// list compares the cloud's list with the records: machines that stopped, or that are not
+// there any more, are deleted, machines that nobody knows are recorded, to be used or returned.
 func (p *Pool) list(ctx context.Context, lead wire.Guard) {
 	if time.Since(p.listed) < tuning.ListEvery {
 		return
@@ -774,7 +775,35 @@
 			}
 		}
 	}
+	items = append(items, p.vanished(lead, all, now)...)
 	p.world.RUnlock()
 	maps.DeleteFunc(p.unknown, func(n string, _ time.Time) bool { return !seen[n] })
 	p.doAll(ctx, items, "machine not recorded")
 }
+
+// vanished gives up machines that the cloud has ceased to list: once listed a machine stays
+// listed until it is gone. Silence alone can't tell the loss of all machines at once from a cut of
+// our own, and gave up none for ever. That they are gone is proved by their deletion, as
+// ever. Callers hold the world's lock.
+func (p *Pool) vanished(lead wire.Guard, all []wire.Listed, now time.Time) (items []store.Item) {
+	listed := make(map[string]bool, len(all))
+	for _, l := range all {
+		listed[l.ID] = true
+	}
+	old := config.Seconds(2*p.set.Deployment.Cloud.ListLagS) + tuning.ListMissing*tuning.ListEvery
+	for name, m := range p.world.Machines {
+		if listed[name] || m.Gone || m.Stamp == 0 || now.Sub(time.UnixMilli(m.AtMs)) < old {
+			delete(p.missing, name)
+			continue
+		}
+		if p.missing[name]++; p.missing[name] < tuning.ListMissing {
+			continue
+		}
+		rec, key := m.MachineRecord, world.MachineKey(name)
+		rec.Gone = true
+		p.log.Info("machine is not listed any more", "machine", name, "tasks", len(m.Bound))
+		items = append(items, store.Item{Guards: []wire.Guard{lead, {Key: key, Stamp: m.Stamp}}, Ops: []wire.Op{store.Set(key, rec)}})
+	}
+	maps.DeleteFunc(p.missing, func(n string, _ int) bool { return p.world.Machines[n] == nil })
+	return items
+}
--- a/internal/standin/region.go
+++ b/internal/standin/region.go
@@ -430,6 +430,15 @@
 	r.remove(name, true)
 }
 
+// Vanish takes all machines away at once, without a trace in the cloud's list.
+func (r *Region) Vanish() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(r.workers)) {
+		r.remove(name, false)
+	}
+}
+
 // Take lets the cloud take a spot machine back, with or without a notice.
 func (r *Region) Take(name string, notice time.Duration) {
 	r.mu.Lock()
--- a/internal/standin/zone_test.go
+++ b/internal/standin/zone_test.go
@@ -101,6 +101,10 @@
 			time.Sleep(20 * time.Second)
 			r.CloudOutage(time.Now().Add(30 * time.Second))
 		}},
+		{"everything is gone", func(r *Region) {
+			time.Sleep(3 * time.Minute) // nothing waits any more for which a machine would be rented
+			r.Vanish()
+		}},
 		{"cut, and a leader ends", func(r *Region) {
 			r.CutZone("north", true, time.Now().Add(130*time.Second))
 			time.Sleep(20 * time.Second)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -462,6 +462,9 @@
 	BootStuckMin = 20 * time.Second
 	// ListEvery is the interval of machine listings.
 	ListEvery = 5 * time.Second
+	// ListMissing is how many lists in a row must lack a machine that has long been there for it
+	// to count as gone.
+	ListMissing = 3
 	// CloudTimeout bounds a call to the cloud.
 	CloudTimeout = 5 * time.Second
 	// CloudShare is the fraction of the cloud's rate that all nodes plan to use.
