--- a/internal/spill/spill.go
+++ b/internal/spill/spill.go
@@ -520,6 +520,7 @@
 	budget := s.commit.TxnOps() - 1
 	change := func(g wire.Guard, op wire.Op) { guards, ops = append(guards, g), append(ops, op) }
 	room := s.room()
+	var told []func() // once it is durable
 	for _, a := range m.Asks {
 		if len(ops) >= budget {
 			break
@@ -540,7 +541,9 @@
 			}
 			room -= spec.Tasks
 			change(wire.Guard{Key: world.JobKey(spec.ID)}, store.Set(world.JobKey(spec.ID), rec))
-			s.log.Info("job taken from another cell", "job", spec.ID, "cell", m.Cell, "number", a.Number)
+			told = append(told, func() {
+				s.log.Info("job taken from another cell", "job", spec.ID, "cell", m.Cell, "number", a.Number)
+			})
 		case j == nil:
 		case a.Recalled && !j.Cancelled() && j.Bound == 0:
 			if _, ok := guests.Release(a.Number, j.Bound); ok {
@@ -550,7 +553,7 @@
 						ops = append(ops, store.Drop(key))
 					}
 				}
-				s.log.Info("job sent home", "job", spec.ID, "cell", m.Cell, "number", a.Number)
+				told = append(told, func() { s.log.Info("job sent home", "job", spec.ID, "cell", m.Cell, "number", a.Number) })
 			}
 		case a.Cancelled && !j.Cancelled():
 			change(rewrite(j, func(r *world.JobRecord) { r.CancelMs, r.Certain = max(time.Now().UnixMilli(), 1), true }))
@@ -576,7 +579,13 @@
 	if len(ops) == 0 {
 		return nil
 	}
-	return s.do(ctx, guards, ops)
+	if err := s.do(ctx, guards, ops); err != nil {
+		return err
+	}
+	for _, tell := range told {
+		tell()
+	}
+	return nil
 }
 
 // takes tells whether a job of another cell may run here at all.
@@ -768,7 +777,7 @@
 			flight[to] += j.Spec.Tasks
 		}
 	}
-	next := map[string]world.CellRecord{}
+	next, given := map[string]world.CellRecord{}, map[string][]string{}
 	ops, guards := map[string][]wire.Op{}, map[string][]wire.Guard{}
 	for _, g := range gifts {
 		rec, ok := next[g.to]
@@ -785,12 +794,15 @@
 			r.Away, r.AwayMs = &world.Transfer{Cell: g.to, Number: rec.Next, Epoch: s.op.CellEpoch}, now.UnixMilli()
 		})
 		guards[g.to], ops[g.to] = append(guards[g.to], guard), append(ops[g.to], op)
-		s.log.Info("job given to another cell", "job", g.job.Spec.ID, "cell", g.to, "number", rec.Next)
+		given[g.to] = append(given[g.to], g.job.Spec.ID)
 	}
 	s.world.RUnlock()
 	var errs []error
 	for to, list := range ops {
-		errs = append(errs, s.do(ctx, guards[to], append(list, store.Set(world.CellKey(to), next[to]))))
+		err := s.do(ctx, guards[to], append(list, store.Set(world.CellKey(to), next[to])))
+		if errs = append(errs, err); err == nil {
+			s.log.Info("jobs given to another cell", "cell", to, "jobs", given[to])
+		}
 	}
 	return errors.Join(errs...)
 }
