Tests: cells' and zones' settings, the exchange finds the leader

Faults of the file are named, the deployed files are read, nothing is on without them. Over gRPC on loopback: of a cell's nodes the one that leads answers, and is asked first afterwards.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -120,6 +120,14 @@
 		"<sableusher><classes><class name='a' repeats='1' pause-s='1' pause-max-s='2' colour='red'/></classes></sableusher>":                                             "colour",
 		"<sableusher><classes><kind/></classes></sableusher>":                                                                                                            "kind",
 		"<sableusher><class name='a' repeats='1' pause-s='1' pause-max-s='2'/></sableusher>":                                                                             "class",
+		"<sableusher><zone-reserve>1.1</zone-reserve></sableusher>":                                                                                                      "zone-reserve",
+		"<sableusher><cell-name>a</cell-name></sableusher>":                                                                                                              "cell-epoch",
+		"<sableusher><cell-name>a/b</cell-name><cell-epoch>1</cell-epoch></sableusher>":                                                                                  "cell-name",
+		"<sableusher><cell-name>a</cell-name><cell-epoch>1</cell-epoch><cells><cell name='a' nodes='x:1' transfer-s='0'/></cells></sableusher>":                          "twice",
+		"<sableusher><cell-name>a</cell-name><cell-epoch>1</cell-epoch><cells><cell name='b' nodes=' ' transfer-s='0'/></cells></sableusher>":                            "nodes",
+		"<sableusher><cell-name>a</cell-name><cell-epoch>1</cell-epoch><cells><cell name='b' nodes='x:1' transfer-s='-1'/></cells></sableusher>":                         "transfer-s",
+		"<sableusher><cell-name>a</cell-name><cell-epoch>1</cell-epoch><cells><cell name='b' nodes='x:1'/></cells></sableusher>":                                         "transfer-s",
+		"<sableusher><cell-guests>-1</cell-guests></sableusher>":                                                                                                         "cell-guests",
 		"<sableusher><lambda>": "",
 		"<sableusher><pool-minimum>two</pool-minimum></sableusher>": "",
 	} {
@@ -129,6 +137,22 @@
 	}
 }
 
+// TestDeployedFiles: the files that switch zones' reserve and cells on are read as they are;
+// without them nothing of it is on.
+func TestDeployedFiles(t *testing.T) {
+	zones, err := LoadOperator("../../deploy/zones.xml")
+	if err != nil || zones.ZoneReserve != 0.5 || !zones.SpreadServices || len(zones.Cells) != 0 {
+		t.Errorf("%+v, %v", zones, err)
+	}
+	cells, err := LoadOperator("../../deploy/cells.xml")
+	if err != nil || cells.CellName != "a" || cells.CellEpoch != 1 || len(cells.Cells) != 2 || cells.Cells[1].TransferS != 10 {
+		t.Errorf("%+v, %v", cells, err)
+	}
+	if op, err := LoadOperator(""); err != nil || op.ZoneReserve != 0 || op.SpreadServices || op.CellName != "" || len(op.Cells) != 0 {
+		t.Errorf("on by default: %+v, %v", op, err)
+	}
+}
+
 // TestClassesFile: the file that operators are given to switch classes on is read as it
 // is; without it none is on.
 func TestClassesFile(t *testing.T) {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,6 +14,8 @@
 
 	"sableusher/internal/config"
 	"sableusher/internal/peer/peerpb"
+	"sableusher/internal/spill"
+	"sableusher/internal/wire"
 )
 
 // told is a witness that has heard of some machines.
@@ -30,13 +33,16 @@
 }
 
 // serveWitness answers for a node on a port of its own.
-func serveWitness(t *testing.T, w Witness) string {
+func serveWitness(t *testing.T, w Witness) string { return serve(t, &server{witness: w}) }
+
+func serve(t *testing.T, s *server) string {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	srv := grpc.NewServer()
-	peerpb.RegisterPeerServer(srv, &server{witness: w})
+	peerpb.RegisterPeerServer(srv, s)
+	peerpb.RegisterCellsServer(srv, s)
 	go func() { _ = srv.Serve(l) }()
 	t.Cleanup(srv.Stop)
 	return l.Addr().String()
@@ -64,3 +70,36 @@
 		t.Errorf("images %v", images)
 	}
 }
+
+// TestExchangeFindsTheLeader: of a cell's nodes one is away, one does not lead and one names no
+// cells; the leader's answer comes through whole, and it is asked first the next time.
+func TestExchangeFindsTheLeader(t *testing.T) {
+	asked := 0
+	other := func(context.Context, spill.Message) (spill.Message, error) {
+		asked++
+		return spill.Message{}, spill.ErrNotLeader
+	}
+	leader := func(_ context.Context, m spill.Message) (spill.Message, error) {
+		return spill.Message{Cell: "b", From: 3, To: m.From, Words: []spill.Word{{Number: m.Asks[0].Number, Status: 2, Final: "done", Done: 4}}}, nil
+	}
+	nodes := []string{"127.0.0.1:1", serve(t, &server{answer: func() Answer { return nil }}), serve(t, &server{answer: func() Answer { return other }}),
+		serve(t, &server{answer: func() Answer { return leader }})}
+	p, err := New(&config.Settings{Node: "a-0"}, told{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.patience = time.Minute
+	to := config.Cell{Name: "b", Nodes: strings.Join(nodes, " ")}
+	for range 2 {
+		m, err := p.Exchange(context.Background(), to, spill.Message{Cell: "a", From: 2, To: 3, Asks: []spill.Ask{{Number: 7, Spec: wire.Spec{ID: "run-1", Tasks: 4}}}})
+		if err != nil || m.Cell != "b" || m.From != 3 || m.To != 2 || len(m.Words) != 1 || m.Words[0].Number != 7 || m.Words[0].Done != 4 {
+			t.Fatalf("%+v, %v", m, err)
+		}
+	}
+	if asked != 1 {
+		t.Errorf("a node that does not lead was asked %d times", asked)
+	}
+	if _, err := p.Exchange(context.Background(), config.Cell{Name: "c", Nodes: nodes[0]}, spill.Message{}); err == nil {
+		t.Error("a cell without a node answers")
+	}
+}
