Cells: a cell is emptied by a setting

Need: a cell's maintenance without a hand on each job. Change: cell-drain: nothing new is taken, the others see the cell as draining, what has not started is released.

--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -47,6 +47,8 @@
 	CellEpoch uint64 `xml:"cell-epoch"`
 	// CellGuests is how many tasks of others' jobs may be here at once.
 	CellGuests int `xml:"cell-guests"`
+	// CellDrain: this cell takes nothing new and sends home what has not started.
+	CellDrain bool `xml:"cell-drain"`
 	// Cells are the others.
 	Cells []Cell `xml:"cells>cell"`
 }
--- a/internal/spill/spill.go
+++ b/internal/spill/spill.go
@@ -213,7 +213,7 @@
 	s.world.RLock()
 	rec := s.record(c.Name)
 	line := cell.Line{Own: s.op.CellEpoch, Other: rec.Other}
-	m := Message{Cell: s.op.CellName, From: line.Own, To: line.Other, Have: have, Want: !s.settled(rec)}
+	m := Message{Cell: s.op.CellName, From: line.Own, To: line.Other, Draining: s.op.CellDrain, Have: have, Want: !s.settled(rec)}
 	if s.settled(rec) {
 		jobs := s.away(c.Name)
 		for _, n := range s.turns(h, jobs) {
@@ -462,7 +462,7 @@
 			return Message{}, err
 		}
 	}
-	reply := Message{Cell: s.op.CellName, From: line.Own, To: line.Other}
+	reply := Message{Cell: s.op.CellName, From: line.Own, To: line.Other, Draining: s.op.CellDrain}
 	if !counts {
 		return reply, nil
 	}
@@ -545,7 +545,7 @@
 				s.log.Info("job taken from another cell", "job", spec.ID, "cell", m.Cell, "number", a.Number)
 			})
 		case j == nil:
-		case a.Recalled && !j.Cancelled() && j.Bound == 0:
+		case (a.Recalled || s.op.CellDrain) && !j.Cancelled() && j.Bound == 0 && j.Done == 0:
 			if _, ok := guests.Release(a.Number, j.Bound); ok {
 				change(wire.Guard{Key: world.JobKey(spec.ID), Stamp: j.Stamp}, store.Drop(world.JobKey(spec.ID)))
 				for _, key := range j.Further() {
@@ -640,6 +640,9 @@
 
 // room is how many more tasks of other cells' jobs are taken. Callers hold the world's lock.
 func (s *Spill) room() int {
+	if s.op.CellDrain {
+		return 0
+	}
 	held := 0
 	for _, j := range s.world.Jobs {
 		if j.Known && j.Guest != nil {
--- a/internal/standin/cells.go
+++ b/internal/standin/cells.go
@@ -32,6 +32,7 @@
 	links []Link
 	rnd   *rand.Rand
 	epoch map[string]uint64
+	drain map[string]bool
 	// Sent counts the messages between cells, Bytes what they and their answers take.
 	Sent, Bytes int
 }
@@ -39,7 +40,7 @@
 // NewCells starts cells of three controllers each, with so many machines of each kind to be had;
 // settings are those of a cell's controllers, of one name in all cells for the teams.
 func NewCells(ctx context.Context, names []string, settings func(cell string, i int) *config.Settings, types []wire.MachineType, each int, rnd *rand.Rand, log *slog.Logger) *Cells {
-	c := &Cells{Oracle: NewOracle(settings(names[0], 0)), Regions: map[string]*Region{}, names: names, rnd: rnd, epoch: map[string]uint64{}}
+	c := &Cells{Oracle: NewOracle(settings(names[0], 0)), Regions: map[string]*Region{}, names: names, rnd: rnd, epoch: map[string]uint64{}, drain: map[string]bool{}}
 	for _, name := range names {
 		c.epoch[name] = 1
 		r := newRegion(ctx, settings(name, 0), types, each, rand.New(rand.NewPCG(rnd.Uint64(), 2)), log.With("cell", name), c.Oracle)
@@ -47,7 +48,7 @@
 		r.Operators = func(op *config.Operator) {
 			c.mu.Lock()
 			defer c.mu.Unlock()
-			op.CellName, op.CellEpoch, op.CellGuests = name, c.epoch[name], 120
+			op.CellName, op.CellEpoch, op.CellGuests, op.CellDrain = name, c.epoch[name], 120, c.drain[name]
 			for _, o := range names {
 				if o != name {
 					op.Cells = append(op.Cells, config.Cell{Name: o, Nodes: "-", TransferS: 1})
@@ -153,6 +154,19 @@
 	c.Regions[cell].User(ctx, spec, runS, cancelAfter)
 }
 
+// Drain changes whether a cell takes work of others, and restarts its controllers one by one.
+func (c *Cells) Drain(cell string, drains bool) {
+	c.mu.Lock()
+	c.drain[cell] = drains
+	c.mu.Unlock()
+	r := c.Regions[cell]
+	for i := range r.Nodes() {
+		r.Kill(i)
+		time.Sleep(time.Second)
+		r.Start(i)
+	}
+}
+
 // Lose ends all of a cell's controllers for a while.
 func (c *Cells) Lose(cell string, away time.Duration) {
 	r := c.Regions[cell]
--- a/internal/standin/cells_test.go
+++ b/internal/standin/cells_test.go
@@ -77,11 +77,11 @@
 		})
 	}
 	var kept map[string]wire.Row
-	for at := range 6 {
+	for at := range 7 {
 		time.Sleep(time.Duration(15+rnd.IntN(20)) * time.Second)
 		name, d := names[rnd.IntN(3)], time.Duration(5+rnd.IntN(25))*time.Second
 		until := time.Now().Add(d)
-		switch (at + int(seed)) % 6 {
+		switch (at + int(seed)) % 7 {
 		case 0:
 			c.Cut(Link{From: name, Hold: rnd.IntN(2) == 0, Answers: rnd.IntN(2) == 0, Until: until})
 		case 1:
@@ -99,6 +99,10 @@
 			time.Sleep(d)
 		case 4:
 			c.Cut(Link{To: name, Answers: true, Until: until})
+		case 6:
+			c.Drain(name, true)
+			time.Sleep(d)
+			c.Drain(name, false)
 		case 5:
 			if kept == nil {
 				kept = c.Regions["b"].State.Snapshot()
