Cells: one that is gone for good is forgotten by its operators' word

Need: what a lost cell holds of others waits for it; what ends the wait for good must be one recorded word, refused without the epoch. Change: cells-forgotten names a cell and its epoch; the leader writes so into the cell's record once it is lost, then takes back what is away there; nothing said under a forgotten epoch counts. A cell that does not answer is doubted and lost by time (found by the test: its standing changed with its answers only).

--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -51,6 +51,14 @@
 	CellDrain bool `xml:"cell-drain"`
 	// Cells are the others.
 	Cells []Cell `xml:"cells>cell"`
+	// Forgotten are those of them that are gone for good: what is there may start here again.
+	Forgotten []Forgotten `xml:"cells-forgotten>cell"`
+}
+
+// Forgotten is an operator's word that a cell, under an epoch, is gone for good.
+type Forgotten struct {
+	Name  string `xml:"name,attr"`
+	Epoch uint64 `xml:"epoch,attr"` // as the log line that it is lost tells
 }
 
 // Cell is another deployment that work is exchanged with.
@@ -91,7 +99,7 @@
 	op := Operator{}
 	if base != nil {
 		op = *base
-		op.Classes, op.Cells = nil, nil // a list is replaced, not added to
+		op.Classes, op.Cells, op.Forgotten = nil, nil, nil // a list is replaced, not added to
 	}
 	if err := checkElements(b); err != nil {
 		return nil, fmt.Errorf("operators' settings: %w", err)
@@ -160,6 +168,11 @@
 			fault("<cell name=%q>: transfer-s %v is not within 0 to 3600", c.Name, c.TransferS)
 		}
 	}
+	for _, f := range op.Forgotten {
+		if !slices.ContainsFunc(op.Cells, func(c Cell) bool { return c.Name == f.Name }) || f.Epoch == 0 {
+			fault("<cells-forgotten>: %q is not one of <cells>, or its epoch is none", f.Name)
+		}
+	}
 	return errs
 }
 
--- a/internal/spill/home.go
+++ b/internal/spill/home.go
@@ -89,6 +89,9 @@
 // on.
 func (s *Spill) take(ctx context.Context, name string, line cell.Line, m Message, sent []uint64) error {
 	line, counts := line.Takes(cell.Envelope{From: m.From, To: m.To})
+	s.world.RLock()
+	counts = counts && m.From > s.record(name).Fenced
+	s.world.RUnlock()
 	now := time.Now()
 	s.mu.Lock()
 	h := s.heard[name]
@@ -138,12 +141,13 @@
 	if rec.Own != s.op.CellEpoch {
 		next.Own, next.Settled = s.op.CellEpoch, false
 	}
-	m := cell.Member{Name: name, Epoch: rec.Other, Standing: cell.Standing(rec.Standing), Since: time.UnixMilli(rec.SinceMs), Returns: rec.Returns,
-		Settled: next.Settled, Fenced: rec.Fenced}
-	m = m.Step(time.Now(), cell.Heard{Named: true, At: h.at, Epoch: h.epoch, Draining: h.draining, Settled: settled})
+	m := member(name, next).Step(time.Now(), cell.Heard{Named: true, At: h.at, Epoch: h.epoch, Draining: h.draining, Settled: settled})
 	if m.Standing != cell.Standing(rec.Standing) {
 		s.log.Info("cell changes", "cell", name, "standing", m.Standing, "before", cell.Standing(rec.Standing), "epoch", m.Epoch, "waits for", m.Waits(time.Now()))
 		next.SinceMs = m.Since.UnixMilli()
+		for _, s := range cell.Standings {
+			standing.WithLabelValues(name, s.String()).Set(map[bool]float64{true: 1}[s == m.Standing])
+		}
 	}
 	next.Standing, next.Returns, next.Settled = int(m.Standing), m.Returns, m.Settled
 	next.Other = max(next.Other, m.Epoch, line.Other)
@@ -256,6 +260,48 @@
 	return ok, nil
 }
 
+// forget carries out an operator's word that a cell is gone for good: its record says so first, then
+// what is there is here again.
+func (s *Spill) forget(ctx context.Context, f config.Forgotten) error {
+	s.world.RLock()
+	rec := s.record(f.Name)
+	guards, leads := s.guards(f.Name)
+	m := member(f.Name, rec)
+	var ops []wire.Op
+	var back []string
+	if rec.Fenced < f.Epoch {
+		after, err := m.Forget(f.Epoch, time.Now())
+		if err != nil {
+			s.world.RUnlock()
+			return fmt.Errorf("not forgotten: %w", err)
+		}
+		rec.Fenced, rec.Standing, rec.SinceMs, rec.Settled = after.Fenced, int(after.Standing), after.Since.UnixMilli(), after.Settled
+		ops = append(ops, store.Set(world.CellKey(f.Name), rec))
+	} else if rec.Other <= rec.Fenced {
+		for _, j := range s.away(f.Name) {
+			if len(ops) < s.commit.TxnOps() {
+				g, op := rewrite(j, func(r *world.JobRecord) { r.Away = nil })
+				guards, ops, back = append(guards, g), append(ops, op), append(back, j.Spec.ID)
+			}
+		}
+	}
+	s.world.RUnlock()
+	if len(ops) == 0 || !leads {
+		return nil
+	}
+	if err := s.do(ctx, guards, ops); err != nil {
+		return err
+	}
+	s.log.Info("cell forgotten by its operators' word", "cell", f.Name, "epoch", f.Epoch, "jobs back", back)
+	return nil
+}
+
+// member is a cell's record as the machine of members sees it.
+func member(name string, rec world.CellRecord) cell.Member {
+	return cell.Member{Name: name, Epoch: rec.Other, Standing: cell.Standing(rec.Standing), Since: time.UnixMilli(rec.SinceMs), Returns: rec.Returns,
+		Settled: rec.Settled, Fenced: rec.Fenced}
+}
+
 // offer gives away what is expected to start sooner elsewhere.
 func (s *Spill) offer(ctx context.Context) error {
 	now := time.Now()
--- a/internal/spill/host.go
+++ b/internal/spill/host.go
@@ -54,7 +54,7 @@
 		}
 	}
 	reply := Message{Cell: s.op.CellName, From: line.Own, To: line.Other, Draining: s.op.CellDrain}
-	if !counts {
+	if !counts || m.From <= rec.Fenced {
 		return reply, nil
 	}
 	if err := s.clean(ctx, m.Cell); err != nil {
--- a/internal/spill/spill.go
+++ b/internal/spill/spill.go
@@ -16,6 +16,8 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
 	"golang.org/x/sync/errgroup"
 
 	"sableusher/internal/cell"
@@ -26,6 +28,9 @@
 	"sableusher/internal/world"
 )
 
+var standing = promauto.NewGaugeVec(prometheus.GaugeOpts{Name: "sableusher_cell_standing",
+	Help: "1 for the standing of each other cell, once it has changed while this node led."}, []string{"cell", "standing"})
+
 // Line speaks with other cells.
 type Line interface {
 	// Exchange asks a cell's leader, whichever of its nodes that is.
@@ -109,13 +114,21 @@
 		var g errgroup.Group
 		for _, c := range s.op.Cells {
 			g.Go(func() error {
-				if err := s.exchange(ctx, c); err != nil {
+				err := s.exchange(ctx, c)
+				if err != nil {
+					// What is silent is doubted, and then lost, by time alone.
+					err = errors.Join(err, s.stand(ctx, c.Name, cell.Line{}, false, nil))
 					s.log.Debug("cell not spoken with", "cell", c.Name, "err", err)
 				}
 				return nil
 			})
 		}
 		_ = g.Wait()
+		for _, f := range s.op.Forgotten {
+			if err := s.forget(ctx, f); err != nil {
+				s.log.Info("cell not forgotten", "cell", f.Name, "err", err)
+			}
+		}
 		if err := s.offer(ctx); err != nil {
 			s.log.Debug("nothing offered", "err", err)
 		}
--- a/internal/standin/cells.go
+++ b/internal/standin/cells.go
@@ -33,14 +33,18 @@
 	rnd   *rand.Rand
 	epoch map[string]uint64
 	drain map[string]bool
+	// Gone are cells that the operators of all others have forgotten, under their epochs.
+	gone []config.Forgotten
+	// Guests is how many tasks of others each cell takes, as controllers that start read it.
+	Guests int
 	// Sent counts the messages between cells, Bytes what they and their answers take.
 	Sent, Bytes int
 }
 
 // NewCells starts cells of three controllers each, with so many machines of each kind to be had;
 // settings are those of a cell's controllers, of one name in all cells for the teams.
-func NewCells(ctx context.Context, names []string, settings func(cell string, i int) *config.Settings, types []wire.MachineType, each int, rnd *rand.Rand, log *slog.Logger) *Cells {
-	c := &Cells{Oracle: NewOracle(settings(names[0], 0)), Regions: map[string]*Region{}, names: names, rnd: rnd, epoch: map[string]uint64{}, drain: map[string]bool{}}
+func NewCells(ctx context.Context, names []string, settings func(cell string, i int) *config.Settings, types []wire.MachineType, each, guests int, rnd *rand.Rand, log *slog.Logger) *Cells {
+	c := &Cells{Guests: guests, Oracle: NewOracle(settings(names[0], 0)), Regions: map[string]*Region{}, names: names, rnd: rnd, epoch: map[string]uint64{}, drain: map[string]bool{}}
 	for _, name := range names {
 		c.epoch[name] = 1
 		r := newRegion(ctx, settings(name, 0), types, each, rand.New(rand.NewPCG(rnd.Uint64(), 2)), log.With("cell", name), c.Oracle)
@@ -48,9 +52,14 @@
 		r.Operators = func(op *config.Operator) {
 			c.mu.Lock()
 			defer c.mu.Unlock()
-			op.CellName, op.CellEpoch, op.CellGuests, op.CellDrain = name, c.epoch[name], 120, c.drain[name]
+			op.CellName, op.CellEpoch, op.CellGuests, op.CellDrain = name, c.epoch[name], c.Guests, c.drain[name]
 			for _, o := range names {
 				if o != name {
+					for _, f := range c.gone {
+						if f.Name == o {
+							op.Forgotten = append(op.Forgotten, f)
+						}
+					}
 					op.Cells = append(op.Cells, config.Cell{Name: o, Nodes: "-", TransferS: 1})
 				}
 			}
@@ -167,6 +176,26 @@
 	}
 }
 
+// Bury takes a cell away for good, with its machines, and after a while the operators of another
+// one say so.
+func (c *Cells) Bury(cell string, after time.Duration, told string) {
+	r := c.Regions[cell]
+	for i := range r.Nodes() {
+		r.Kill(i)
+	}
+	r.Vanish()
+	time.Sleep(after)
+	c.mu.Lock()
+	c.gone = append(c.gone, config.Forgotten{Name: cell, Epoch: c.epoch[cell]})
+	c.mu.Unlock()
+	o := c.Regions[told]
+	for i := range o.Nodes() {
+		o.Kill(i)
+		time.Sleep(time.Second)
+		o.Start(i)
+	}
+}
+
 // Lose ends all of a cell's controllers for a while.
 func (c *Cells) Lose(cell string, away time.Duration) {
 	r := c.Regions[cell]
--- a/internal/standin/cells_test.go
+++ b/internal/standin/cells_test.go
@@ -48,7 +48,7 @@
 	rnd := rand.New(rand.NewPCG(seed, 51))
 	names := []string{"a", "b", "c"}
 	var logged journal
-	c := NewCells(ctx, names, testCell, testTypes[:1], 2, rnd, slog.New(slog.NewTextHandler(&logged, nil)))
+	c := NewCells(ctx, names, testCell, testTypes[:1], 2, 120, rnd, slog.New(slog.NewTextHandler(&logged, nil)))
 	const jobs = 90
 	for i := range jobs {
 		s := wire.Spec{ID: fmt.Sprintf("run-%06d", i+1), Class: "c", Team: "open", CPUs: 4, GPUs: 1, MemoryGB: 20, Image: fmt.Sprint("img-", i%3), ImageGB: 2, EstimateS: 20}
@@ -134,3 +134,65 @@
 		t.Errorf("nothing spilled: %d taken, %d ended elsewhere", taken, ended)
 	}
 }
+
+// burst lets sixty arrays come to one of three cells that are all up, and gives how long it takes
+// until all have ended, and how many others took. trouble begins 40 s later.
+func burst(t *testing.T, guests int, trouble func(*Cells)) (took time.Duration, taken int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	rnd := rand.New(rand.NewPCG(6, 52))
+	var logged journal
+	c := NewCells(ctx, []string{"a", "b", "c"}, testCell, testTypes[:1], 2, guests, rnd, slog.New(slog.NewTextHandler(&logged, nil)))
+	time.Sleep(60 * time.Second) // the cells have joined
+	start := time.Now()
+	for i := range 60 {
+		s := wire.Spec{ID: fmt.Sprintf("run-%06d", i+1), Class: "c", Team: "open", Kind: wire.KindArray, Priority: wire.PriorityNormal, Tasks: 8,
+			CPUs: 4, GPUs: 1, MemoryGB: 20, Image: "img", ImageGB: 2, EstimateS: 20, Spot: true}
+		c.Regions["a"].wg.Go(func() { c.User(ctx, "a", s, 20, 0) })
+	}
+	time.Sleep(40 * time.Second)
+	if trouble != nil {
+		trouble(c)
+	}
+	for len(c.Oracle.Unfinished()) > 0 && time.Since(start) < 20*time.Minute {
+		time.Sleep(time.Second)
+	}
+	took, taken = time.Since(start), logged.count("job taken from another cell")
+	if left := c.Oracle.Unfinished(); len(left) > 0 {
+		t.Errorf("never finished: %v", left)
+	}
+	cancel()
+	c.Wait()
+	time.Sleep(3 * time.Minute)
+	if len(c.Oracle.Broken) > 0 {
+		t.Errorf("broken:\n%s", strings.Join(c.Oracle.Broken, "\n"))
+	}
+	return took, taken
+}
+
+// TestCellGoneForGood: a cell goes with its machines while it holds work of another. What is there
+// waits until the other's operators say that it is gone for good, and not longer: every job ends,
+// none runs twice.
+func TestCellGoneForGood(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		took, taken := burst(t, 400, func(c *Cells) {
+			c.Bury("b", 3*time.Minute, "a")
+			if left := c.Oracle.Unfinished(); len(left) == 0 {
+				t.Error("nothing waited for the cell that is gone")
+			}
+		})
+		t.Logf("all ended after %v, %d taken by others", took.Round(time.Second), taken)
+	})
+}
+
+// TestSpillOnAgainstOff: a burst in one of three cells that are all up ends sooner if the others
+// take part of it, by what their machines allow.
+func TestSpillOnAgainstOff(t *testing.T) {
+	var off, on time.Duration
+	var none, taken int
+	synctest.Test(t, func(t *testing.T) { off, none = burst(t, 0, nil) })
+	synctest.Test(t, func(t *testing.T) { on, taken = burst(t, 400, nil) })
+	t.Logf("60 arrays of 8 tasks in one of three cells: all ended after %v without, %v with the others, which took %d", off.Round(time.Second), on.Round(time.Second), taken)
+	if none > 0 || taken == 0 || float64(on) > 0.8*float64(off) {
+		t.Errorf("%v without, %v with %d taken", off, on, taken)
+	}
+}
