--- a/internal/standin/cells.go
+++ b/internal/standin/cells.go
@@ -44,7 +44,7 @@
 // NewCells starts cells of three controllers each, with so many machines of each kind to be had;
 // settings are those of a cell's controllers, of one name in all cells for the teams.
 func NewCells(ctx context.Context, names []string, settings func(cell string, i int) *config.Settings, types []wire.MachineType, each, guests int, rnd *rand.Rand, log *slog.Logger) *Cells {
-	c := &Cells{Guests: guests, Oracle: NewOracle(settings(names[0], 0)), Regions: map[string]*Region{}, names: names, rnd: rnd, epoch: map[string]uint64{}, drain: map[string]bool{}}
+	c := &Cells{Guests: guests, Oracle: NewOracle(settings(names[0], 0)), Regions: map[string]*Region{}, names: names, rnd: rand.New(rand.NewPCG(rnd.Uint64(), 3)), epoch: map[string]uint64{}, drain: map[string]bool{}}
 	for _, name := range names {
 		c.epoch[name] = 1
 		r := newRegion(ctx, settings(name, 0), types, each, rand.New(rand.NewPCG(rnd.Uint64(), 2)), log.With("cell", name), c.Oracle)
--- a/internal/standin/lost_test.go
+++ b/internal/standin/lost_test.go
@@ -75,7 +75,7 @@
 	var logged journal
 	// Of ordinary machines each zone has half as many again as the services take of it, so that
 	// two zones have room for all of them.
-	r := NewRegion(ctx, testSettings(0), testTypes[:1], machines/2, rnd, slog.New(slog.NewTextHandler(&logged, nil)))
+	r := NewRegion(ctx, testSettings(0), testTypes[:1], machines/2, rand.New(rand.NewPCG(rnd.Uint64(), 8)), slog.New(slog.NewTextHandler(&logged, nil)))
 	for i := range 3 {
 		r.Add(testSettings(i))
 	}
