--- a/internal/place/silent.go
+++ b/internal/place/silent.go
@@ -86,12 +86,14 @@
 	}
 }
 
+// kinds are the kinds of jobs as plans of evacuation know them.
+var kinds = map[string]evacuate.Kind{wire.KindService: evacuate.Service, wire.KindGang: evacuate.Gang, wire.KindArray: evacuate.Array}
+
 // holds gives what is on a machine, for the plan of its evacuation.
 func (r *round) holds(name string) []evacuate.Task {
 	var out []evacuate.Task
 	for _, b := range r.world.Machines[name].Bound {
-		kind := map[string]evacuate.Kind{wire.KindService: evacuate.Service, wire.KindGang: evacuate.Gang, wire.KindArray: evacuate.Array}[b.Job.Spec.Kind]
-		out = append(out, evacuate.Task{Job: b.Ref.Job, Kind: kind, Rank: r.rank(b.Job), Has: b.Job.Bound})
+		out = append(out, evacuate.Task{Job: b.Ref.Job, Kind: kinds[b.Job.Spec.Kind], Rank: r.rank(b.Job), Has: b.Job.Bound})
 	}
 	return out
 }
