Reread: the end of a job's records, and a digest's form, written once

Found on rereading the whole change: the duty between cells built the final record and dropped further records by itself, as place does; its digest was cell.Digest again with other tags; what counts under an epoch stood twice. One piece serves both now; no change of behaviour.

--- a/internal/cell/choose.go
+++ b/internal/cell/choose.go
@@ -23,13 +23,13 @@
 // Digest is what a cell tells the others of itself: a hint, stamped and aged, of some KB whatever
 // the cell's size. A wrong one costs an offer that is refused.
 type Digest struct {
-	At     time.Time // when it arrived here
-	Rooms  []Room    // the largest, up to tuning.DigestShapes
-	Waits  []float64 // by rank, in seconds: how long work without room is expected to wait
-	Images []string  // held on many machines
-	FetchS float64   // seconds for a GB of image
-	BootS  float64   // until a machine that is rented is up, in seconds
-	Guests int       // tasks of others that it takes at most beside those it has
+	At     time.Time `cbor:"-"`           // when it arrived here
+	Rooms  []Room    `cbor:"r,omitempty"` // the largest, up to tuning.DigestShapes
+	Waits  []float64 `cbor:"w,omitempty"` // by rank, in seconds: how long work without room is expected to wait
+	Images []string  `cbor:"i,omitempty"` // held on many machines
+	FetchS float64   `cbor:"f"`           // seconds for a GB of image
+	BootS  float64   `cbor:"b"`           // until a machine that is rented is up, in seconds
+	Guests int       `cbor:"g"`           // tasks of others that it takes at most beside those it has
 }
 
 // Shrink keeps the rooms that hold most, so that a digest stays within its size.
--- a/internal/place/changes.go
+++ b/internal/place/changes.go
@@ -166,23 +166,14 @@
 		ops := []wire.Op{store.Set(world.OverKey(g.Cell, g.Number), over), store.Drop(world.JobKey(id))}
 		return append(ops, r.drops(j, len(ops))...)
 	}
-	ops := []wire.Op{
-		store.Set(world.FinalKey(id), world.FinalRecord{Status: status, Tasks: j.Spec.Tasks, Done: done, AtMs: r.now.UnixMilli()}),
-		store.Drop(world.JobKey(id)),
-	}
+	ops := j.Final(status, done, r.now.UnixMilli())
 	return append(ops, r.drops(j, len(ops))...)
 }
 
 // drops removes as many of a job's further records as a transaction with so many
 // changes has room for; what stays is swept later.
 func (r *round) drops(j *world.Job, has int) []wire.Op {
-	var ops []wire.Op
-	for _, key := range j.Further() {
-		if has+len(ops) < r.commit.TxnOps() {
-			ops = append(ops, store.Drop(key))
-		}
-	}
-	return ops
+	return j.DropFurther(r.commit.TxnOps() - has)
 }
 
 // flush turns the edits into changes.
--- a/internal/spill/home.go
+++ b/internal/spill/home.go
@@ -85,6 +85,14 @@
 // settled tells whether the inventory of a cell is in, under this cell's epoch.
 func (s *Spill) settled(rec world.CellRecord) bool { return rec.Own == s.op.CellEpoch && rec.Settled }
 
+// under is a record as it counts under this cell's epoch: what was settled before is not now.
+func (s *Spill) under(rec world.CellRecord) world.CellRecord {
+	if rec.Own != s.op.CellEpoch {
+		rec.Own, rec.Settled = s.op.CellEpoch, false
+	}
+	return rec
+}
+
 // take takes an answer in: words first, so that a record that says settled follows what it rests
 // on.
 func (s *Spill) take(ctx context.Context, name string, line cell.Line, m Message, sent []uint64) error {
@@ -98,8 +106,8 @@
 	h.at, h.epoch, h.draining = now, m.From, m.Draining
 	h.have = slices.DeleteFunc(h.have, func(n uint64) bool { return slices.Contains(sent, n) })
 	if counts && m.Digest != nil {
-		d := m.Digest
-		h.digest = cell.Digest{At: now, Rooms: d.Rooms, Waits: d.Waits, Images: d.Images, FetchS: d.FetchS, BootS: d.BootS, Guests: d.Guests}
+		h.digest = *m.Digest
+		h.digest.At = now
 	}
 	s.mu.Unlock()
 	done := counts
@@ -137,10 +145,7 @@
 	if !leads {
 		return ErrNotLeader
 	}
-	next := rec
-	if rec.Own != s.op.CellEpoch {
-		next.Own, next.Settled = s.op.CellEpoch, false
-	}
+	next := s.under(rec)
 	m := member(name, next).Step(time.Now(), cell.Heard{Named: true, At: h.at, Epoch: h.epoch, Draining: h.draining, Settled: settled})
 	if m.Standing != cell.Standing(rec.Standing) {
 		s.log.Info("cell changes", "cell", name, "standing", m.Standing, "before", cell.Standing(rec.Standing), "epoch", m.Epoch, "waits for", m.Waits(time.Now()))
@@ -193,14 +198,9 @@
 		if status == "" {
 			status = j.Ending() // refused or sent home after its user had cancelled it
 		}
-		id := j.Spec.ID
-		guards = append(guards, wire.Guard{Key: world.JobKey(id), Stamp: j.Stamp})
-		ops = []wire.Op{store.Set(world.FinalKey(id), world.FinalRecord{Status: status, Tasks: j.Spec.Tasks, Done: done, AtMs: time.Now().UnixMilli()}), store.Drop(world.JobKey(id))}
-		for _, key := range j.Further() {
-			if len(ops) < s.commit.TxnOps() {
-				ops = append(ops, store.Drop(key))
-			}
-		}
+		guards = append(guards, wire.Guard{Key: world.JobKey(j.Spec.ID), Stamp: j.Stamp})
+		ops = j.Final(status, done, time.Now().UnixMilli())
+		ops = append(ops, j.DropFurther(s.commit.TxnOps()-len(ops))...)
 	}
 	s.world.RUnlock()
 	if len(ops) == 0 || !leads {
--- a/internal/spill/host.go
+++ b/internal/spill/host.go
@@ -44,11 +44,8 @@
 	if line.Other != rec.Other {
 		// Known before anything is said under it: a late message of an epoch before counts
 		// no more.
-		next := rec
+		next := s.under(rec)
 		next.Other = line.Other
-		if next.Own != s.op.CellEpoch {
-			next.Own, next.Settled = s.op.CellEpoch, false
-		}
 		if err := s.do(ctx, guards, []wire.Op{store.Set(world.CellKey(m.Cell), next)}); err != nil {
 			return Message{}, err
 		}
@@ -139,11 +136,7 @@
 		case (a.Recalled || s.op.CellDrain) && !j.Cancelled() && j.Bound == 0 && j.Done == 0:
 			if _, ok := guests.Release(a.Number, j.Bound); ok {
 				change(wire.Guard{Key: world.JobKey(spec.ID), Stamp: j.Stamp}, store.Drop(world.JobKey(spec.ID)))
-				for _, key := range j.Further() {
-					if len(ops) < budget {
-						ops = append(ops, store.Drop(key))
-					}
-				}
+				ops = append(ops, j.DropFurther(budget-len(ops))...)
 				told = append(told, func() { s.log.Info("job sent home", "job", spec.ID, "cell", m.Cell, "number", a.Number) })
 			}
 		case a.Cancelled && !j.Cancelled():
@@ -182,7 +175,7 @@
 // takes tells whether a job of another cell may run here at all.
 func (s *Spill) takes(spec *wire.Spec) bool {
 	t := s.teams[spec.Team]
-	// A limit or guarantee is the home's to keep; what is away would have to be set aside in both.
+	// A limit is the home's to keep; what is away would have to be set aside in both.
 	return t.GPUsMax == 0 && t.CPUsMax == 0 && spec.Kind != wire.KindService && len(spec.Awaits) == 0 &&
 		accept.Impossible(spec, s.teams, s.world.Types) == "" && s.world.Jobs[spec.ID] == nil
 }
@@ -244,7 +237,7 @@
 }
 
 // digest tells what this cell has free. Callers hold the world's lock.
-func (s *Spill) digest() *Digest {
+func (s *Spill) digest() *cell.Digest {
 	type like struct {
 		typ, zone string
 		spot      bool
@@ -274,7 +267,7 @@
 			count[like{m.Type, m.Zone, m.Spot, free}]++
 		}
 	}
-	d := &Digest{FetchS: fetch, BootS: boot, Guests: s.room()}
+	d := &cell.Digest{FetchS: fetch, BootS: boot, Guests: s.room()}
 	for l, n := range count {
 		d.Rooms = append(d.Rooms, cell.Room{Type: l.typ, Zone: l.zone, Spot: l.spot, Free: l.free, Count: n})
 	}
--- a/internal/spill/message.go
+++ b/internal/spill/message.go
@@ -19,9 +19,9 @@
 	Have []uint64 `cbor:"h,omitempty"`
 	Want bool     `cbor:"w,omitempty"`
 	// Of an answer.
-	Words  []Word     `cbor:"o,omitempty"`
-	List   *Inventory `cbor:"l,omitempty"`
-	Digest *Digest    `cbor:"g,omitempty"`
+	Words  []Word       `cbor:"o,omitempty"`
+	List   *Inventory   `cbor:"l,omitempty"`
+	Digest *cell.Digest `cbor:"g,omitempty"`
 }
 
 // Ask is a question about one transfer; the first ones offer the job.
@@ -47,13 +47,3 @@
 	Held []Ask  `cbor:"l,omitempty"` // those that are not over, with what is needed to know them again
 	Over []Word `cbor:"o,omitempty"`
 }
-
-// Digest is cell.Digest as it is sent.
-type Digest struct {
-	Rooms  []cell.Room `cbor:"r,omitempty"`
-	Waits  []float64   `cbor:"w,omitempty"`
-	Images []string    `cbor:"i,omitempty"`
-	FetchS float64     `cbor:"f"`
-	BootS  float64     `cbor:"b"`
-	Guests int         `cbor:"g"`
-}
--- a/internal/world/layout.go
+++ b/internal/world/layout.go
@@ -237,6 +237,28 @@
 	return 0
 }
 
+// Final gives the changes that turn the job's records into its final one, but for its further
+// records (DropFurther).
+func (j *Job) Final(status string, done int, atMs int64) []wire.Op {
+	id := j.Spec.ID
+	return []wire.Op{
+		{Set: FinalKey(id), Value: wire.MustEncode(FinalRecord{Status: status, Tasks: j.Spec.Tasks, Done: done, AtMs: atMs})},
+		{Drop: JobKey(id)},
+	}
+}
+
+// DropFurther removes as many of the job's further records as there is room for; what stays is
+// swept later.
+func (j *Job) DropFurther(room int) []wire.Op {
+	var ops []wire.Op
+	for _, key := range j.Further() {
+		if len(ops) < room {
+			ops = append(ops, wire.Op{Drop: key})
+		}
+	}
+	return ops
+}
+
 // Further lists the keys of the job's further records that exist.
 func (j *Job) Further() []string {
 	var out []string
