Intake, place: a job whose tasks are all done is done, also if it is marked as cancelled

Cause: the last task of a job with several records ends in a change of a further record, which a cancellation at the same moment does not collide with, as that writes the job's own record only. What awaited it fell. The same with a gang of which one task was done and none on a machine: it was called cancelled, and the leader completed it afterwards.

Ruled out: jobs with one record, where both changes are guarded by the same stamp.

Mend: one rule, Job.Complete, asked by polls, cancellations, the leader's ending and what awaits; a marked gang is not completed any more.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -288,13 +288,13 @@
 func (in *Intake) live(id string, j *world.Job) wire.Status {
 	st := wire.Status{ID: id, Status: wire.JobPending, Done: j.Done, Running: j.Bound}
 	switch {
+	case j.Complete():
+		st.Status = wire.JobDone
 	case j.Cancelled() && (!j.Certain || j.Left() && in.view.Revision() >= j.Stamp):
 		// Told once no task is left, never before: nothing that renews a lease
 		// somewhere behind a cut can then keep one beyond its time. A binding in a
 		// further record may lie just before the cancellation: the view holds it then.
 		st.Status = j.Ending()
-	case j.Done == j.Spec.Tasks:
-		st.Status = wire.JobDone
 	case j.Bound > 0, j.Away != nil:
 		st.Status = wire.JobRunning
 	}
@@ -419,7 +419,7 @@
 	in.world.RLock()
 	defer in.world.RUnlock()
 	j := in.world.Jobs[id]
-	if j == nil || !j.Known || j.Cancelled() {
+	if j == nil || !j.Known || j.Cancelled() || j.Complete() {
 		return store.Item{}, false, false
 	}
 	marked := *j
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -325,6 +325,51 @@
 	}
 }
 
+// TestCancelledAtItsEnd: the last task of a job with several records ends in a change of a further one,
+// with which a cancellation at that moment does not collide. Such a job is done, for every node and every
+// question, since users may have been told so before it was marked; what awaits it may start. Once it was
+// called cancelled, and done when the leader had ended it.
+func TestCancelledAtItsEnd(t *testing.T) {
+	const tasks = tuning.ChunkTasks + 2
+	s := spec()
+	s.Tasks = tasks
+	first := make([]world.Task, tuning.ChunkTasks)
+	for i := range first {
+		first[i] = world.Task{Index: i, State: world.Done, Attempt: 1}
+	}
+	last := func(state int) world.ChunkRecord {
+		return world.ChunkRecord{Tasks: []world.Task{{Index: tasks - 2, State: world.Done, Attempt: 1}, {Index: tasks - 1, State: state, Attempt: 1, Machine: "vm-000001", Session: 1}}}
+	}
+	live, marked := world.JobRecord{Spec: s, Tasks: first}, world.JobRecord{Spec: s, Tasks: first, CancelMs: 5, Certain: true}
+	ended := func(o *outside) {
+		o.put(world.ChunkKey(s.ID, 1), last(world.Done))
+		o.put(world.JobKey(s.ID), marked)
+	}
+	for name, set := range map[string]func(*outside){
+		"before it is marked":    ended,
+		"while it is":            func(o *outside) { o.applied = func(store.Item) { ended(o) } },
+		"complete, not yet over": func(o *outside) { o.put(world.ChunkKey(s.ID, 1), last(world.Done)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			o, h := setup(true)
+			o.put(world.LevelKey, world.LevelRecord{Level: tuning.LevelCertain})
+			o.put(world.JobKey(s.ID), live)
+			o.put(world.ChunkKey(s.ID, 1), last(world.Bound))
+			set(o)
+			for _, q := range [][2]string{{http.MethodPost, "/abort"}, {http.MethodGet, ""}, {http.MethodPost, "/abort"}} {
+				if status, st := ask(h, q[0], "/v1/jobs/"+s.ID+q[1], nil); status != 200 || st.Status != wire.JobDone {
+					t.Errorf("%s%s: %d %q, want done", q[0], q[1], status, st.Status)
+				}
+			}
+			o.world.RLock()
+			defer o.world.RUnlock()
+			if want := name == "while it is"; want != (len(o.done) == 1) {
+				t.Errorf("%d changes", len(o.done))
+			}
+		})
+	}
+}
+
 // TestCancellationBesideOlderVersions: nodes of the version before tell cancellations at
 // once. Until all nodes tell them late the new ones do as they do, or a poll would call a
 // job running that was called cancelled, as it did on days with an upgrade; the level
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -469,3 +469,38 @@
 		}
 	}
 }
+
+// TestPartlyDoneGangIsCancelled: a gang of which one task is done and none is on a machine is completed by
+// the leader; once it is marked as cancelled its user may have been told so, and it ends as that.
+func TestPartlyDoneGangIsCancelled(t *testing.T) {
+	for _, cancelMs := range []int64{0, 5} {
+		f := newField(t)
+		s := gang(1, 2)
+		s.Team, s.Class = "t", "c"
+		rec := world.JobRecord{Spec: s, AtMs: 1, CancelMs: cancelMs, Certain: cancelMs != 0,
+			Tasks: []world.Task{{Index: 0, State: world.Done, Attempt: 1}, {Index: 1, State: world.Idle, Attempt: 1}}}
+		f.world.Begin()
+		f.world.Put(world.JobKey(s.ID), wire.MustEncode(rec), 0) // the view holds all up to it
+		f.world.Flush()
+		f.world.RLock()
+		r := f.engines[0].newRound(testNow)
+		r.finishJobs()
+		r.flush()
+		f.world.RUnlock()
+		want := wire.JobDone
+		if cancelMs != 0 {
+			want = wire.JobCancelled
+		}
+		var final world.FinalRecord
+		for _, c := range r.out {
+			for _, o := range c.item.Ops {
+				if o.Set == world.FinalKey(s.ID) {
+					_ = wire.Decode(o.Value, &final)
+				}
+			}
+		}
+		if final.Status != want {
+			t.Errorf("cancelled at %d: ends as %q, want %q", cancelMs, final.Status, want)
+		}
+	}
+}
--- a/internal/place/settle.go
+++ b/internal/place/settle.go
@@ -202,7 +202,7 @@
 		if r.busy[key] {
 			continue
 		}
-		if j.Spec.Kind == wire.KindGang && j.Done > 0 && j.Bound == 0 && j.Done < j.Spec.Tasks && j.Known {
+		if j.Spec.Kind == wire.KindGang && j.Done > 0 && j.Bound == 0 && j.Done < j.Spec.Tasks && j.Known && !j.Cancelled() {
 			r.completeGang(j)
 			continue
 		}
@@ -211,7 +211,7 @@
 		switch {
 		case !j.Known:
 			ops, guard.Stamp = r.drops(j, 0), 0
-		case j.Done == j.Spec.Tasks:
+		case j.Complete():
 			ops = r.final(j, wire.JobDone, j.Done)
 		// No task can be bound after the cancellation, and the view holds all before it.
 		case j.Cancelled() && j.Left() && r.member.Seen(j.Stamp):
--- a/internal/world/awaits.go
+++ b/internal/world/awaits.go
@@ -60,15 +60,15 @@
 		switch {
 		case over && final.Status == wire.JobDone:
 			j.meet(a, final.AtMs)
+		case !over && live != nil && live.Complete():
+			delete(w.unread, a)
+			j.meet(a, time.Now().UnixMilli())
 		case over, live != nil && live.Known && (live.Cancelled() || live.Doomed):
 			delete(w.unread, a)
 			w.doom(id, j)
 			return
 		case live != nil && live.Known:
 			delete(w.unread, a)
-			if live.Done == live.Spec.Tasks {
-				j.meet(a, time.Now().UnixMilli())
-			}
 		default:
 			w.unread[a] = struct{}{}
 		}
--- a/internal/world/awaits_test.go
+++ b/internal/world/awaits_test.go
@@ -63,7 +63,7 @@
 			}
 		}
 		for range rapid.IntRange(5, 60).Draw(t, "steps") {
-			what := rapid.IntRange(0, 5).Draw(t, "what")
+			what := rapid.IntRange(0, 6).Draw(t, "what")
 			if len(ids) == 0 {
 				what = 0
 			}
@@ -92,6 +92,8 @@
 					drop(id, fate[id])
 				case what == 5:
 					read()
+				case what == 6 && live[id] && fate[id] == wire.JobDone: // cancelled at its end: it is done all the same
+					put(id, func(r *JobRecord) { r.CancelMs, r.Tasks = 7, []Task{{State: Done, Attempt: 1}} })
 				}
 				if _, ok := w.Doomed()[id]; ok && live[id] && fate[id] == "" && rapid.Bool().Draw(t, "sweep") {
 					fate[id] = wire.JobCancelled
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -61,6 +61,11 @@
 // Cancelled tells whether the job was cancelled.
 func (j *Job) Cancelled() bool { return j.CancelMs != 0 }
 
+// Complete tells whether all tasks of the job are done. That decides what it is whatever else its
+// records say: the last task of one with several records ends in a change that a cancellation at that
+// moment does not collide with, and users may have been told of it by then.
+func (j *Job) Complete() bool { return j.Known && j.Done == j.Spec.Tasks }
+
 // Ending is the final state of a cancelled job: cancelled, or failed if it ended itself.
 func (j *Job) Ending() string {
 	if j.Failed {
