--- a/internal/standin/net.go
+++ b/internal/standin/net.go
@@ -36,6 +36,8 @@
 	rnd   *rand.Rand
 	hosts map[string]*Host
 	cuts  []Cut
+	slow  time.Duration // what links add at most
+	until time.Time     // for how long
 }
 
 // Host is one address.
@@ -66,6 +68,13 @@
 	n.cuts = append(n.cuts, c)
 }
 
+// Slow lets every packet take up to so much longer until a time.
+func (n *Net) Slow(d time.Duration, until time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.slow, n.until = d, until
+}
+
 func (n *Net) cut(a, b string) (Cut, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -85,6 +94,9 @@
 	if n.rnd.IntN(100) == 0 {
 		d += 200 * time.Millisecond
 	}
+	if time.Now().Before(n.until) {
+		d += time.Duration(n.rnd.Int64N(int64(n.slow)))
+	}
 	return d
 }
 
--- a/internal/standin/region.go
+++ b/internal/standin/region.go
@@ -146,6 +146,11 @@
 	faults   map[world.TaskRef]int // failures that tasks still have before them
 	copies   odds                  // reports of which a copy arrives again
 	Copies   int                   // such copies so far
+	kept     odds                  // reports of which a copy is kept for the next leader
+	keeping  map[string]keptReport // the last one kept of each worker
+	fast     time.Time             // machines rented until then are up within two seconds
+	atEnd    odds                  // jobs that end and are called off at that moment
+	looks    time.Time             // until when users ask at all nodes right after an answer
 }
 
 type rented struct {
@@ -172,7 +177,7 @@
 	r := &Region{Set: set, Net: NewNet(rand.New(rand.NewPCG(rnd.Uint64(), 1))), Oracle: oracle, Log: log,
 		State: NewState(d.State.RPS, d.State.WriteRPS, d.State.TxnOps, d.State.ValueKB, 600),
 		ctx:   ctx, rnd: rnd, types: types, capacity: map[string]int{}, charters: map[string][]string{},
-		workers: map[string]*worker{}, closed: map[string]time.Time{}, saved: map[world.TaskRef]bool{}, runS: map[string]float64{}, faults: map[world.TaskRef]int{}}
+		workers: map[string]*worker{}, closed: map[string]time.Time{}, saved: map[world.TaskRef]bool{}, runS: map[string]float64{}, faults: map[world.TaskRef]int{}, keeping: map[string]keptReport{}}
 	for _, t := range types {
 		for _, z := range t.Zones {
 			for _, spot := range []bool{true, false} {
@@ -318,12 +323,22 @@
 				r.listings = r.listings[1:]
 			}
 		}
+		var rooms []Room
+		if i%10 == 0 {
+			rooms = r.rooms()
+		}
 		r.mu.Unlock()
 		r.Oracle.Check()
+		if i%10 == 0 {
+			r.Oracle.Waiting(rooms)
+		}
 	}
 }
 
 func (r *Region) boot(ctx context.Context, m *rented) {
+	if time.Since(m.since) < 2*time.Second {
+		r.Oracle.Meets("up within two seconds", 1)
+	}
 	var typ wire.MachineType
 	for _, t := range r.types {
 		if t.Name == m.Type {
@@ -644,6 +659,9 @@
 			Spot: q.Spot, State: wire.MachineBooting}, rental: q.Name, key: key, since: now}
 		if r.rnd.IntN(20) > 0 { // a few never come up
 			m.up = now.Add(config.Seconds(5 * (0.6 + r.rnd.Float64())))
+			if now.Before(r.fast) {
+				m.up = now.Add(config.Seconds(0.2 + 1.7*r.rnd.Float64()))
+			}
 		}
 		r.machines = append(r.machines, m)
 		names = append(names, id)
--- a/internal/standin/region_test.go
+++ b/internal/standin/region_test.go
@@ -386,6 +386,49 @@
 	})
 }
 
+// leave lets a job wait for two minutes, all troubles over, beside rooms of some machines.
+func leave(o *Oracle, rooms ...Room) {
+	o.Answer("run-1", 201, wire.JobPending)
+	o.Calm()
+	for range 120 {
+		time.Sleep(time.Second)
+		o.Waiting(rooms)
+	}
+}
+
+// TestOracleLeavesAlone: a job that waits for room that is not there for it is not left waiting.
+func TestOracleLeavesAlone(t *testing.T) {
+	place := func(zone string, spot bool) Place { return Place{"a", "large", zone, spot} }
+	gpu := world.Amount{GPUs: 1}
+	for name, c := range map[string]struct {
+		spec  func(*wire.Spec)
+		rooms []Room
+	}{
+		"no room":          {nil, []Room{{place("east", false), world.Amount{}}}},
+		"spot":             {nil, []Room{{place("east", true), gpu}}},
+		"another zone":     {func(s *wire.Spec) { s.Zone = "west" }, []Room{{place("east", false), gpu}}},
+		"another type":     {func(s *wire.Spec) { s.Types = []string{"small"} }, []Room{{place("east", false), gpu}}},
+		"spread":           {func(s *wire.Spec) { s.Kind, s.Tasks, s.Spread = wire.KindGang, 4, true }, []Room{{place("east", false), world.Amount{GPUs: 4}}}},
+		"zones apart":      {func(s *wire.Spec) { s.Kind, s.Tasks, s.OneZone = wire.KindGang, 2, true }, []Room{{place("east", false), gpu}, {place("west", false), gpu}}},
+		"over its limit":   {func(s *wire.Spec) { s.GPUs = 7 }, []Room{{place("east", false), world.Amount{GPUs: 8}}}},
+		"half of the gang": {func(s *wire.Spec) { s.Kind, s.Tasks = wire.KindGang, 4 }, []Room{{place("east", false), world.Amount{GPUs: 3}}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				o := NewOracle(testSettings(0))
+				s := wire.Spec{ID: "run-1", Team: "bound", Kind: wire.KindArray, Tasks: 2, GPUs: 1}
+				if c.spec != nil {
+					c.spec(&s)
+				}
+				o.Submitted(s)
+				if leave(o, c.rooms...); len(o.Broken) > 0 {
+					t.Errorf("%v", o.Broken)
+				}
+			})
+		})
+	}
+}
+
 // TestOracleSeesEachRule plays one small defect for each rule: an oracle that
 // can't fail would prove nothing.
 func TestOracleSeesEachRule(t *testing.T) {
@@ -425,7 +468,23 @@
 			o.Answer("run-1", 200, wire.JobCancelled)
 			time.Sleep(45 * time.Second)
 			o.Check()
+		}}, {"started after it was told", nil, func(o *Oracle) {
+			o.Cancelling("run-1")
+			o.Answer("run-1", 200, wire.JobCancelled)
+			o.On(ref(0), at("a", "large", "east", false))
+		}}},
+		"accepted": {{"what can't run", nil, func(o *Oracle) {
+			s := base
+			s.ID = "run-2"
+			o.Impossible(s, "it fits no machine")
+			o.Answer("run-2", 201, wire.JobPending)
 		}}},
+		"left": {
+			{"beside room", nil, func(o *Oracle) { leave(o, Room{at("a", "large", "east", false), world.Amount{CPUs: 8, GPUs: 1}}) }},
+			{"a gang beside room in its zone", func(s *wire.Spec) { s.Kind, s.Tasks, s.OneZone = wire.KindGang, 2, true }, func(o *Oracle) {
+				leave(o, Room{at("a", "large", "west", false), world.Amount{GPUs: 1}}, Room{at("b", "large", "east", false), world.Amount{GPUs: 1}}, Room{at("c", "large", "east", false), world.Amount{GPUs: 1}})
+			}},
+		},
 		"forgotten": {{"404", nil, func(o *Oracle) {
 			o.Answer("run-1", 201, wire.JobPending)
 			o.Answer("run-1", 404, "")
@@ -497,6 +556,18 @@
 				o.Answer("run-1", 200, wire.JobDone)
 				o.Answer("run-1", 200, wire.JobPending)
 			}},
+			{"an older answer from another node", func(s *wire.Spec) { s.Tasks = 1 }, func(o *Oracle) {
+				o.Completed(ref(0))
+				sent := time.Now()
+				time.Sleep(time.Millisecond)
+				o.AnswerTo("run-1", sent, 200, wire.JobDone)
+				o.AnswerTo("run-1", sent, 200, wire.JobRunning) // was on its way by then
+				if len(o.Broken) > 0 {
+					o.Broken = nil // what follows must find nothing
+					return
+				}
+				o.AnswerTo("run-1", time.Now(), 200, wire.JobRunning)
+			}},
 			{"cancelled by nobody", nil, func(o *Oracle) { o.Answer("run-1", 200, wire.JobCancelled) }},
 		},
 	}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -37,6 +37,11 @@
 	Oversize     int                            // refusals for size since
 	Check        func(key string, old wire.Raw) // called with what is about to be written
 
+	lost     odds              // transactions that are carried out at once, and whose answer is lost
+	lostRevs map[uint64]string // who wrote the revisions whose answer was lost
+	Lost     int               // such answers of transactions that were carried out
+	LostRead int               // of these, how often another node read what was written
+
 	late  odds // transactions that get no answer and are carried out later
 	slow  odds // requests that take long
 	Later int  // transactions that were carried out late
@@ -83,7 +88,7 @@
 func NewState(rps, writeRPS float64, txnOps int, valueKB float64, keep int) *State {
 	now := time.Now()
 	return &State{rows: map[string]wire.Row{}, holds: map[uint64]*hold{}, changed: make(chan struct{}), keep: keep,
-		refused: map[string]time.Time{}, reqs: bucket{rps, rps, now}, writes: bucket{writeRPS, writeRPS, now},
+		refused: map[string]time.Time{}, lostRevs: map[uint64]string{}, reqs: bucket{rps, rps, now}, writes: bucket{writeRPS, writeRPS, now},
 		txnOps: txnOps, valueKB: valueKB}
 }
 
@@ -125,6 +130,13 @@
 	return maps.Clone(s.rows)
 }
 
+// Row gives what stands under a key.
+func (s *State) Row(key string) wire.Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rows[key]
+}
+
 // Restore puts back what a snapshot holds, as after a loss of writes; sessions are gone. Nobody
 // may be using the service meanwhile.
 func (s *State) Restore(rows map[string]wire.Row) {
@@ -164,6 +176,14 @@
 	s.late = odds{share, until, rand.New(rand.NewPCG(seed, 51))}
 }
 
+// LoseAnswers lets a share of the transactions be carried out at once while their answers are lost, until
+// a time.
+func (s *State) LoseAnswers(share float64, until time.Time, seed uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost = odds{share, until, rand.New(rand.NewPCG(seed, 54))}
+}
+
 // Slow lets a share of the requests take up to 2 s until a time, most of them less than a node waits.
 func (s *State) Slow(share float64, until time.Time, seed uint64) {
 	s.mu.Lock()
@@ -253,7 +273,15 @@
 		}
 		wire.Reply(w, http.StatusOK, row)
 	case path == "/multi":
+		before := s.rev
 		s.txn(w, body)
+		if s.lost.hit() {
+			w.Header().Set(lostHeader, "1")
+			if s.rev > before {
+				s.Lost++
+				s.lostRevs[s.rev] = r.Header.Get(fromHeader)
+			}
+		}
 	case path == "/holds":
 		var h wire.HoldRequest
 		if wire.Decode(body, &h) != nil || h.TTLMs < 100 || h.TTLMs > 600000 {
@@ -318,6 +346,11 @@
 				out.Events = append(out.Events, e)
 			}
 		}
+		for _, e := range out.Events {
+			if by := s.lostRevs[e.Stamp]; by != "" && by != r.Header.Get(fromHeader) {
+				s.LostRead++
+			}
+		}
 		if len(out.Events) > 0 || !time.Now().Before(end) {
 			wire.Reply(w, http.StatusOK, out)
 			return
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -33,6 +33,7 @@
 	recall              time.Time
 	hungUntil           time.Time
 	deafUntil           time.Time // its reports arrive; answers and commands to it are lost
+	muteUntil           time.Time // it reaches no node; commands reach it
 	gone                bool
 	node                int
 	lastReport          time.Time
@@ -56,6 +57,8 @@
 
 func (w *worker) deaf() bool { return time.Now().Before(w.deafUntil) }
 
+func (w *worker) mute() bool { return time.Now().Before(w.muteUntil) }
+
 func (w *worker) place() Place { return Place{w.name, w.typ.Name, w.zone, w.spot} }
 
 func (w *worker) exit(k attempt, t *task, cause string, saved bool) {
@@ -140,6 +143,7 @@
 				w.r.Oracle.Completed(m.k.ref)
 				m.w.exit(m.k, m.t, wire.CauseDone, false)
 			}
+			w.r.ended(k.ref.Job)
 		case wire.TaskSaving:
 			if now.After(t.ready) {
 				w.r.saved[k.ref] = true
@@ -259,6 +263,8 @@
 	if w.r.copies.hit() {
 		w.r.copy(ctx, w.name, w.r.nodes[node].Address, body)
 	}
+	w.r.keep(w.name, body)
+	mute := w.mute()
 	w.r.mu.Unlock()
 	next := func() bool {
 		w.r.mu.Lock()
@@ -269,6 +275,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, 4*time.Second)
 	defer cancel()
+	if mute {
+		<-ctx.Done()
+		return next()
+	}
 	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.r.nodes[node].Address+"/agent/beat", bytes.NewReader(body))
 	resp, err := rt.RoundTrip(req)
 	if err != nil {
