--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -532,15 +532,15 @@
 
 // State is what placement needs to know of a machine.
 type State struct {
-	Heard   time.Time
-	Session uint64
-	Usable  bool // heard lately, answers, under our token, no notice, no refusal
-	Recall  time.Time
-	Doubt   bool // a direct start without an answer is left
-	Mute    bool // a direct question since the last report got no answer
-	Deaf    bool // its reports arrive, while for some time commands to it did not
-	Hears   bool // it is known to hear this node
-	Errors  int
+	Heard      time.Time
+	Session    uint64
+	Usable     bool // heard lately, answers, under our token, no notice, no refusal
+	Recall     time.Time
+	Doubt      bool // a direct start without an answer is left
+	Unanswered bool // a direct question since the last report got no answer
+	Deaf       bool // its reports arrive, while for some time commands to it did not
+	Hears      bool // it is known to hear this node
+	Errors     int
 }
 
 // Look gives a machine's state under a token.
@@ -552,11 +552,11 @@
 		return State{}
 	}
 	now := time.Now()
-	s := State{Heard: m.heard, Session: m.session, Recall: m.recall, Errors: len(m.errors), Doubt: m.doubt(token), Mute: m.directAt.After(m.heard)}
+	s := State{Heard: m.heard, Session: m.session, Recall: m.recall, Errors: len(m.errors), Doubt: m.doubt(token), Unanswered: m.directAt.After(m.heard)}
 	s.Hears = m.hears()
 	s.Deaf = m.deaf() && m.heard.After(m.deafFrom) && now.Sub(m.deafFrom) > tuning.DeafAfter
 	silent := f.reports(tuning.SilentAfter)
-	s.Usable = m.session != 0 && m.token == token && m.recall.IsZero() && now.Sub(m.heard) < silent && !s.Mute && !m.deaf() &&
+	s.Usable = m.session != 0 && m.token == token && m.recall.IsZero() && now.Sub(m.heard) < silent && !s.Unanswered && !m.deaf() &&
 		now.Sub(m.refused) > tuning.RefuseHold && len(m.errors) < tuning.MachineErrors
 	return s
 }
--- a/internal/place/silent.go
+++ b/internal/place/silent.go
@@ -40,7 +40,7 @@
 		}
 		s := r.fleet.Look(name, token)
 		list = append(list, silence.Machine{Name: name, Zone: m.Zone, Part: m.Part, Up: m.Up, Session: s.Session, Heard: s.Heard, Owned: r.owned[m.Part],
-			Mute: s.Mute, Late: r.late(m), Bound: len(m.Bound), Moves: r.movable(m, open), Inside: r.inside(m.Zone)})
+			Unanswered: s.Unanswered, Late: r.late(m), Bound: len(m.Bound), Moves: r.movable(m, open), Inside: r.inside(m.Zone)})
 		if m.Up && s.Deaf {
 			r.unhearing(m)
 		}
--- a/internal/silence/silence.go
+++ b/internal/silence/silence.go
@@ -51,7 +51,7 @@
 	// Heard is when it was last heard, zero if never; Owned since when this node
 	// could have heard it.
 	Heard, Owned time.Time
-	Mute         bool // a direct question since then got no answer
+	Unanswered   bool // a direct question since then got no answer
 	Late         bool // holds a task whose cancellation is overdue
 	Bound        int  // tasks
 	// Inside: a controller stands in its zone, and renews leases while that is cut off.
@@ -204,7 +204,7 @@
 		case age > w.Rules.probeAfter() && m.Late:
 			// No cap and no vote can keep a cancelled task beyond its time.
 			j.Delete = append(j.Delete, Victim{m.Name, "silent with a cancelled task"})
-		case age > w.Rules.deadAfter() || m.Mute && age > w.askedAfter(m):
+		case age > w.Rules.deadAfter() || m.Unanswered && age > w.askedAfter(m):
 			silent = append(silent, m)
 		case age > w.Rules.probeAfter():
 			j.Probe = append(j.Probe, m.Name)
--- a/internal/silence/silence_test.go
+++ b/internal/silence/silence_test.go
@@ -53,14 +53,14 @@
 		m := &s.list[i]
 		// Each reports at a second of its own within the interval.
 		if !s.silent[m.Name] && (int(now.Sub(start)/time.Second)+i)%int(rules.Report/time.Second) == 0 {
-			m.Heard, m.Mute = now, false
+			m.Heard, m.Unanswered = now, false
 		}
 	}
 	j := s.w.Judge(now, s.list, holds)
 	for _, n := range j.Probe {
 		for i := range s.list {
 			if m := &s.list[i]; m.Name == n {
-				if m.Mute = s.silent[n]; !m.Mute {
+				if m.Unanswered = s.silent[n]; !m.Unanswered {
 					m.Heard = now
 				}
 			}
