Fleet, place: a machine that reaches no node is mute: nothing starts there, and its tasks leave in time

Cause: a worker whose reports reach no node still answers commands, and each answer made its machine look ready, often the emptiest there is. Task after task was started there and ended with its lease, which no command renews; replicas of a quarter of the machines ended at once.

Mend: mute once two reports are overdue while commands are answered; recorded as not up, as deaf machines are; what can save or start elsewhere leaves ahead of the lease's end, spread over it; a session that an answer tells of is recorded. Where most machines of a node look so it is the node that can't be reached. What stays deaf or mute for minutes and is empty is returned, since nothing else would ever end that.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -467,6 +467,8 @@
 	f.world.RUnlock()
 
 	rep, status, err := f.post(ctx, address, cmd, limit)
+	f.world.RLock()
+	defer f.world.RUnlock()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m.direct = false
@@ -486,6 +488,12 @@
 			if changed {
 				f.learned(name)
 			}
+			// A worker whose reports don't come through tells of a new session here alone. Others bind gangs
+			// and services to the one on record, which this node ends at once, and both over and over.
+			if rec := f.world.Machines[name]; rec != nil && max(rec.Session, 1) != m.session {
+				f.adopt[name] = *rep
+				f.poke()
+			}
 			if m.session != old || m.token < token {
 				f.kick(name) // a new session, or the first word: orders can follow now
 			}
@@ -540,7 +548,12 @@
 	Unanswered bool // a direct question since the last report got no answer
 	Deaf       bool // its reports arrive, while for some time commands to it did not
 	Hears      bool // it is known to hear this node
-	Errors     int
+	Mute       bool // it answers commands, while for some time no report of it came here
+	// Lapse is when the lease of a machine ends if no report of it comes any more.
+	Lapse time.Time
+	// OneWay is since when it has been deaf or mute.
+	OneWay time.Time
+	Errors int
 }
 
 // Look gives a machine's state under a token.
@@ -555,8 +568,22 @@
 	s := State{Heard: m.heard, Session: m.session, Recall: m.recall, Errors: len(m.errors), Doubt: m.doubt(token), Unanswered: m.directAt.After(m.heard)}
 	s.Hears = m.hears()
 	s.Deaf = m.deaf() && m.heard.After(m.deafFrom) && now.Sub(m.deafFrom) > tuning.DeafAfter
+	if s.Deaf {
+		s.OneWay = m.deafFrom
+	}
 	silent := f.reports(tuning.SilentAfter)
-	s.Usable = m.session != 0 && m.token == token && m.recall.IsZero() && now.Sub(m.heard) < silent && !s.Unanswered && !m.deaf() &&
+	if due := silent; !m.since.IsZero() && m.hears() {
+		last := m.beatAt
+		if m.since.After(last) {
+			last, due = m.since, due+tuning.FindNode // it looks for its part's new owner
+		}
+		s.Mute = now.Sub(last) > due && m.obeyed.After(last) && now.Sub(m.heard) < silent
+		s.Lapse = last.Add(f.set.Lease())
+		if s.Mute {
+			s.OneWay = last
+		}
+	}
+	s.Usable = m.session != 0 && m.token == token && m.recall.IsZero() && now.Sub(m.heard) < silent && !s.Unanswered && !m.deaf() && !s.Mute &&
 		now.Sub(m.refused) > tuning.RefuseHold && len(m.errors) < tuning.MachineErrors
 	return s
 }
--- a/internal/fleet/late_test.go
+++ b/internal/fleet/late_test.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"bytes"
+	"io"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -141,3 +143,59 @@
 		<-c
 	}
 }
+
+// answers stands in for workers that answer direct commands.
+type answers func() wire.Report
+
+func (a answers) RoundTrip(*http.Request) (*http.Response, error) {
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(bytes.NewReader(wire.MustEncode(a())))}, nil
+}
+
+// TestMuteMachine: a worker whose reports reach no node answers commands. For some time it is ready, as one
+// report may be lost; then it is mute: nothing more starts there, until a report of it comes. A session that
+// only its answer tells of is recorded, since others bind to the one on record.
+func TestMuteMachine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := newDesk(tuning.LevelCertain)
+		m := k.machine(0)
+		seq, session := uint64(3), uint64(1)
+		k.http = &http.Client{Transport: answers(func() wire.Report {
+			seq++
+			return wire.Report{Machine: m, Address: "10.1.0.1:9000", Session: session, Seq: seq, Token: 5}
+		})}
+		look := func(what string, usable, mute bool) {
+			t.Helper()
+			if s := k.Look(m, 5); s.Usable != usable || s.Mute != mute {
+				t.Errorf("%s: usable %v, mute %v", what, s.Usable, s.Mute)
+			}
+		}
+		k.fresh = time.Now()
+		k.report(m, 1, 5)
+		k.report(m, 2, 5)
+		start := time.Now()
+		ask := func(d time.Duration) {
+			time.Sleep(d)
+			k.fresh = time.Now()
+			k.send(t.Context(), m)
+		}
+		look("it reported", true, false)
+		ask(8 * time.Second)
+		look("one report is overdue", true, false)
+		ask(8 * time.Second)
+		look("more are", false, true)
+		if s := k.Look(m, 5); !s.Lapse.Equal(start.Add(k.set.Lease())) || !s.OneWay.Equal(start) {
+			t.Errorf("its lease ends at %v, mute since %v", s.Lapse.Sub(start), s.OneWay.Sub(start))
+		}
+		if a := k.Adoptions(); len(a) > 0 {
+			t.Errorf("recorded anew: %v", a)
+		}
+		session, seq = 2, 0
+		ask(20 * time.Second)
+		look("its lease has ended", false, true)
+		if a := k.Adoptions(); a[m].Session != 2 {
+			t.Errorf("a session that an answer tells of is not recorded: %v", a)
+		}
+		k.Beat(&wire.Report{Machine: m, Address: "10.1.0.1:9000", Session: 2, Seq: 9, Token: 5})
+		look("a report comes", true, false)
+	})
+}
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -62,6 +62,8 @@
 	direct   bool      // a direct command is in flight
 	directAt time.Time // when the last one failed
 	obeyed   time.Time // when it was last known to hear this node
+	beatAt   time.Time // when its last report came that asked for an answer
+	since    time.Time // when this node first heard of it
 	deafFrom time.Time // when the first command since then failed
 }
 
@@ -139,7 +141,10 @@
 		m.recall = now.Add(time.Duration(*r.NoticeS * float64(time.Second)))
 	}
 	if beat {
-		m.beatSeq = r.Seq
+		m.beatSeq, m.beatAt = r.Seq, now
+	}
+	if m.since.IsZero() {
+		m.since = now
 	}
 	for k, ls := range m.starts {
 		keep := ls[:0]
--- a/internal/place/settle.go
+++ b/internal/place/settle.go
@@ -272,9 +272,9 @@
 			session = 0
 		}
 		renewed := m != nil && rec.Session != session
-		// A new session of a machine that hears nothing is recorded, but not that it is up.
+		// A new session of a machine that hears nothing or reaches no node is recorded, but not that it is up.
 		s := r.fleet.Look(name, r.tokens[part])
-		up := s.Hears || !s.Deaf && (rec.Up || rec.Address == "")
+		up := !s.Mute && (s.Hears || !s.Deaf && (rec.Up || rec.Address == ""))
 		rec.Type, rec.Zone, rec.Spot, rec.Address, rec.Up, rec.Session = rep.Type, rep.Zone, rep.Spot, rep.Address, up, session
 		it := r.writeMachine("machine is up "+name, name, part, rec, stamp)
 		// That it is up can wait: others only plan with it, its owner uses it at once. A new
--- a/internal/place/silent.go
+++ b/internal/place/silent.go
@@ -31,6 +31,7 @@
 // machinesDue deletes machines that are silent, stuck or failing.
 func (r *round) machinesDue() {
 	var list []silence.Machine
+	var mute []*world.Machine
 	open := r.openZones()
 	for _, name := range slices.Sorted(maps.Keys(r.world.Machines)) {
 		m := r.world.Machines[name]
@@ -41,14 +42,19 @@
 		s := r.fleet.Look(name, token)
 		list = append(list, silence.Machine{Name: name, Zone: m.Zone, Part: m.Part, Up: m.Up, Session: s.Session, Heard: s.Heard, Owned: r.owned[m.Part],
 			Unanswered: s.Unanswered, Late: r.late(m), Bound: len(m.Bound), Moves: r.movable(m, open), Inside: r.inside(m.Zone)})
+		if s.Mute {
+			mute = append(mute, m)
+		}
 		if m.Up && s.Deaf {
-			r.unhearing(m)
+			r.oneWay(m, "hears nothing")
 		}
 		switch {
 		case !m.Up && s.Heard.IsZero():
 			if r.neverUp(m) && !r.silence.Troubled(m.Zone) {
 				r.giveUp(silence.Victim{Name: name, Why: "never came up"})
 			}
+		case !m.Up && len(m.Bound) == 0 && r.moveM[name] == (world.Amount{}) && !s.OneWay.IsZero() && r.now.Sub(s.OneWay) > tuning.OneWayLife && !r.silence.Troubled(m.Zone):
+			r.giveUp(silence.Victim{Name: name, Why: "reached in one direction only"})
 		case len(m.Bound) == 0 && r.moveM[name] == (world.Amount{}) && s.Errors >= tuning.MachineErrors:
 			r.giveUp(silence.Victim{Name: name, Why: "failing"})
 		}
@@ -58,6 +64,7 @@
 			go r.member.Fence(r.ctx, m.Part, true)
 		}
 	}
+	r.leaveMute(mute, len(list))
 	j := r.silence.Judge(r.now, list, func(m *silence.Machine) []evacuate.Task { return r.holds(m.Name) })
 	for _, c := range j.Zones {
 		r.log.Info("zone changes", "zone", c.Zone, "state", c.To, "before", c.From, "after", c.After.Round(time.Second), "waits for", c.Waits)
@@ -89,14 +96,37 @@
 	}
 }
 
-// unhearing records that a machine which reports but hears nothing is not up, until it hears again. Its
-// owner knows; gangs and services are placed by other nodes too, to which it looked like the emptiest
-// machine there is, and what was bound to it waited until its lease had run out, over and over.
-func (r *round) unhearing(m *world.Machine) {
-	r.log.Info("machine hears nothing", "machine", m.Name, "tasks", len(m.Bound))
+// oneWay records that a machine which reports but hears nothing, or hears but reaches no node, is not up
+// until that is over. Its owner knows; gangs and services are placed by other nodes too, to which it looked
+// like the emptiest machine there is, and what was bound to it waited until its lease had run out, over and over.
+func (r *round) oneWay(m *world.Machine, why string) {
+	r.log.Info("machine "+why, "machine", m.Name, "tasks", len(m.Bound))
 	rec := m.MachineRecord
 	rec.Up = false
-	r.writeMachine("machine hears nothing "+m.Name, m.Name, m.Part, rec, m.Stamp).Soon = true
+	r.writeMachine("machine "+why+" "+m.Name, m.Name, m.Part, rec, m.Stamp).Soon = true
+	r.stale[m.Name] = struct{}{}
+}
+
+// leaveMute deals with machines that answer commands while their reports reach no node. Nothing renews their
+// leases, and what runs on them ends with those: nothing more is started there, and what can save or
+// start elsewhere leaves ahead of it, spread over what is left of the lease, as replicas that all end
+// at once find less room. Where most machines of this node seem to be mute it is this node that can't be
+// reached, and its parts go to one that can.
+func (r *round) leaveMute(mute []*world.Machine, all int) {
+	if 2*len(mute) > all {
+		return
+	}
+	lead := time.Duration(tuning.MuteLeaves * float64(r.set.Lease()))
+	for _, m := range mute {
+		if m.Up && !r.busy[world.MachineKey(m.Name)] {
+			r.oneWay(m, "reaches no node")
+		}
+		lapse := r.fleet.Look(m.Name, r.tokens[m.Part]).Lapse
+		step := float64(world.PartOf(m.Name, tuning.MuteSteps)) / tuning.MuteSteps
+		if wait := time.Duration(step * float64(lead-tuning.LeaseMargin)); r.now.After(lapse.Add(wait - lead)) {
+			r.evacuate(m)
+		}
+	}
 }
 
 // kinds are the kinds of jobs as plans of evacuation know them.
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -77,6 +77,9 @@
 	}
 	if now.Sub(w.leaseFrom) > w.r.Set.Lease() {
 		for k, t := range w.tasks {
+			if t.on {
+				w.r.Oracle.Meets(t.spec.Kind+" ended with a lease", 1)
+			}
 			w.exit(k, t, "", false)
 		}
 		clear(w.tasks)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -210,6 +210,14 @@
 	// its record says that it is not up: one that was lost is followed by a question within a
 	// report, which is answered within OrderTimeout.
 	DeafAfter = 2 * OrderTimeout
+	// MuteLeaves is the share of a lease ahead of its end from which on tasks leave a machine that reaches no
+	// node: they need some seconds to save and to start elsewhere, and shorter spells are waited out. They
+	// leave spread over it, in MuteSteps.
+	MuteLeaves = 0.45
+	MuteSteps  = 16
+	// OneWayLife is for how long an empty machine is kept that is deaf or mute: some leases and boot times, as
+	// what is in the way often ends.
+	OneWayLife = 3 * time.Minute
 	// MarkLeases is for how many leases a worker's newest report is kept in mind after it came: the
 	// network delivers copies well over a lease late.
 	MarkLeases = 8
