Store: a transaction whose answer is late or lost is known as soon as the view shows it

Mend: a committer looks from 150 ms on whether the view holds all keys of the transaction at one new revision with its values, and the dropped ones gone. Nothing is guessed: what the view does not show stays unknown, neither done nor failed, and no request is added. Values are told by a digest kept beside the stamps.

Tests: TestLostAnswerIsLearnedFromTheView (unknown after 1.5 s before), TestAppliedIsNeverGuessed on generated histories.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -56,7 +56,7 @@
 	view := world.New(d.Size, log)
 	cache := store.NewCache(client, world.Root, view, log)
 	commit := store.NewCommitter(client, func(ops []wire.Op, rev uint64) { cache.Local(ops, rev) })
-	commit.Passing(cache.Stale)
+	commit.Follow(cache)
 	members := member.New(set.Node, inc, set.Nodes(), level, client, commit, cache, view, log)
 	workers := fleet.New(set, view, members, cache.Fresh, log, rt)
 	peers, err := lines(workers)
--- a/internal/store/cache.go
+++ b/internal/store/cache.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"hash/maphash"
 	"log/slog"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,6 +37,7 @@
 	ready   bool
 	rev     uint64
 	stamps  map[string]uint64
+	digests map[string]uint64 // of the values, by key
 	dropped map[string]uint64 // our own drops that the watch has not shown yet
 
 	// What readers ask while they hold the sink's lock: they must not wait for
@@ -59,7 +62,7 @@
 		client: c, prefix: prefix, sink: sink, log: log,
 		pace:   rate.NewLimiter(rate.Limit(c.limits.RPS*c.limits.Share*tuning.WatchRateShare), 2),
 		space:  rate.NewLimiter(rate.Limit(c.limits.RPS*c.limits.Share*tuning.SyncRateShare), 2),
-		stamps: map[string]uint64{}, dropped: map[string]uint64{},
+		stamps: map[string]uint64{}, digests: map[string]uint64{}, dropped: map[string]uint64{},
 		next: &barrier{done: make(chan struct{})}, wake: make(chan struct{}, 1),
 	}
 }
@@ -148,7 +151,7 @@
 	if stamp <= c.stamps[key] || stamp <= c.dropped[key] {
 		return
 	}
-	c.stamps[key] = stamp
+	c.stamps[key], c.digests[key] = stamp, digest(v)
 	c.sink.Put(key, v, stamp)
 }
 
@@ -156,10 +159,44 @@
 	if s, ok := c.stamps[key]; !ok || stamp <= s {
 		return
 	}
+	c.forget(key)
+}
+
+func (c *Cache) forget(key string) {
 	delete(c.stamps, key)
+	delete(c.digests, key)
 	c.sink.Drop(key)
 }
 
+var seed = maphash.MakeSeed()
+
+func digest(v wire.Raw) uint64 { return maphash.Bytes(seed, v) }
+
+// Applied tells whether the view shows that all these changes were made together after a revision, and at
+// which: all keys that they set have the same new revision and these values, and those that they drop are gone. A change that sets
+// nothing that is followed here can't be told.
+func (c *Cache) Applied(ops []wire.Op, since uint64) (rev uint64, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, o := range ops {
+		k := o.Key()
+		if !strings.HasPrefix(k, c.prefix) {
+			continue
+		}
+		stamp, there := c.stamps[k]
+		switch {
+		case o.Set == "" && there:
+			return 0, false
+		case o.Set == "":
+		case !there || stamp <= since || rev != 0 && stamp != rev || c.digests[k] != digest(o.Value):
+			return 0, false
+		default:
+			rev = stamp
+		}
+	}
+	return rev, rev != 0
+}
+
 // Local takes in a transaction of our own that was applied at a revision,
 // unless the watch was faster.
 func (c *Cache) Local(ops []wire.Op, rev uint64) {
@@ -172,7 +209,7 @@
 	defer c.sink.Flush()
 	for _, o := range ops {
 		k := o.Key()
-		if len(k) < len(c.prefix) || k[:len(c.prefix)] != c.prefix {
+		if !strings.HasPrefix(k, c.prefix) {
 			continue
 		}
 		if o.Set != "" {
@@ -215,8 +252,7 @@
 	defer c.sink.Flush()
 	for k, s := range c.stamps {
 		if !found[k] && s <= first {
-			delete(c.stamps, k)
-			c.sink.Drop(k)
+			c.forget(k)
 		}
 	}
 	// Changes after the first page are seen by the watch from there on.
--- a/internal/store/cache_test.go
+++ b/internal/store/cache_test.go
@@ -4,6 +4,8 @@
 	"io"
 	"log/slog"
 	"maps"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -104,6 +106,62 @@
 	})
 }
 
+// TestAppliedIsNeverGuessed: a view of a generated history says that changes were made together only if some
+// transaction after the revision made them all, with these values, and it says so of the last one.
+func TestAppliedIsNeverGuessed(t *testing.T) {
+	ops := func(t *rapid.T, what string) (out []wire.Op) {
+		for _, k := range rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"s/a", "s/b", "s/c", "f/d"}), 1, 3, rapid.ID).Draw(t, what) {
+			if rapid.IntRange(0, 3).Draw(t, "drop") == 0 {
+				out = append(out, Drop(k))
+			} else {
+				out = append(out, Set(k, rapid.IntRange(0, 2).Draw(t, "value")))
+			}
+		}
+		return out
+	}
+	holds := func(all, some []wire.Op) bool {
+		for _, o := range some {
+			if !slices.ContainsFunc(all, func(p wire.Op) bool {
+				return o.Key() == p.Key() && (o.Drop != "" || o.Set == p.Set && string(o.Value) == string(p.Value))
+			}) && strings.HasPrefix(o.Set, "s/") {
+				return false
+			}
+		}
+		return true
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		c := NewCache(NewClient("127.0.0.1:1", Limits{RPS: 1, WriteRPS: 1, TxnOps: 1}, nil), "s/", mapSink{}, slog.New(slog.DiscardHandler))
+		since := rapid.Uint64Range(0, 6).Draw(t, "since")
+		asked := ops(t, "asked")
+		var history [][]wire.Op
+		for rev := uint64(1); rev <= 12; rev++ {
+			txn := ops(t, "transaction")
+			if rapid.IntRange(0, 2).Draw(t, "the one") == 0 {
+				txn = asked
+			}
+			history = append(history, txn)
+			if rapid.Bool().Draw(t, "own") {
+				c.Local(txn, rev)
+			}
+			news := wire.News{Revision: rev}
+			for _, o := range txn {
+				if strings.HasPrefix(o.Key(), "s/") {
+					news.Events = append(news.Events, wire.Event{Set: o.Set, Drop: o.Drop, Value: o.Value, Stamp: rev})
+				}
+			}
+			c.apply(rev-1, news, time.Now())
+			got, ok := c.Applied(asked, since)
+			if ok && (got <= since || !holds(history[got-1], asked)) {
+				t.Fatalf("at %d: said to be made at %d, by %v", rev, got, history[got-1])
+			}
+			sets := slices.ContainsFunc(asked, func(o wire.Op) bool { return strings.HasPrefix(o.Set, "s/") })
+			if &txn[0] == &asked[0] && rev > since && sets && (!ok || got != rev) {
+				t.Fatalf("at %d: was just made, and is not known (%d, %v)", rev, got, ok)
+			}
+		}
+	})
+}
+
 // TestBatchesKeepKeysApart checks that one transaction never touches a key twice
 // and stays within the limits, whatever is queued.
 func TestBatchesKeepKeysApart(t *testing.T) {
--- a/internal/store/commit.go
+++ b/internal/store/commit.go
@@ -7,10 +7,16 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+
 	"sableusher/internal/tuning"
 	"sableusher/internal/wire"
 )
 
+var learned = promauto.NewCounter(prometheus.CounterOpts{Name: "sableusher_state_answers_missed_total",
+	Help: "Transactions of which the view showed that they were carried out before any answer came."})
+
 // Item is one atomic change.
 type Item struct {
 	Guards []wire.Guard
@@ -70,7 +76,7 @@
 type Committer struct {
 	client *Client
 	after  func(ops []wire.Op, rev uint64)
-	stale  func(wire.Guard) bool
+	view   View
 
 	gate  chan struct{} // held by the lane that waits for the budget
 	mu    sync.Mutex
@@ -84,8 +90,17 @@
 	return &Committer{client: c, after: after, wake: make(chan struct{}, 1), gate: make(chan struct{}, 1)}
 }
 
-// Passing tells the committer how to know guards that can't hold any more; before Run.
-func (c *Committer) Passing(stale func(wire.Guard) bool) { c.stale = stale }
+// View is what a committer learns from beside its answers.
+type View interface {
+	// Stale tells whether a guard can't hold any more.
+	Stale(g wire.Guard) bool
+	// Applied tells whether changes were made together after a revision, and at which.
+	Applied(ops []wire.Op, since uint64) (rev uint64, ok bool)
+	Revision() uint64
+}
+
+// Follow tells the committer the view; before Run.
+func (c *Committer) Follow(v View) { c.view = v }
 
 // Run sends transactions until ctx ends.
 func (c *Committer) Run(ctx context.Context) error {
@@ -214,11 +229,11 @@
 // transaction that fails counts as one that changes something: where a part's record had changed, all
 // that waited under the old one once took the budget for seconds to be refused item by item.
 func (c *Committer) current(batch []*pending) []*pending {
-	if c.stale == nil {
+	if c.view == nil {
 		return batch
 	}
 	return slices.DeleteFunc(batch, func(p *pending) bool {
-		if !slices.ContainsFunc(p.Guards, c.stale) {
+		if !slices.ContainsFunc(p.Guards, c.view.Stale) {
 			return false
 		}
 		p.done <- outcome{err: ErrGuard}
@@ -306,7 +321,7 @@
 		if again {
 			c.client.wrote(len(txn.Apply)) // the first try was taken off the budget before
 		}
-		res, err := c.client.Txn(ctx, txn, urgent)
+		res, err := c.transact(ctx, txn, urgent)
 		switch {
 		case err == nil:
 			c.after(txn.Apply, res.Revision)
@@ -350,6 +365,44 @@
 	}
 }
 
+// transact sends a transaction. Where its answer is late, the view may show before that it was carried out:
+// an answer that is lost is no reason to wait for it, to take the outcome for unknown, and to fence a part.
+func (c *Committer) transact(ctx context.Context, txn wire.Txn, urgent bool) (wire.TxnResult, error) {
+	if c.view == nil {
+		return c.client.Txn(ctx, txn, urgent)
+	}
+	type answer struct {
+		res wire.TxnResult
+		err error
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	since, got := c.view.Revision(), make(chan answer, 1)
+	go func() {
+		res, err := c.client.Txn(ctx, txn, urgent)
+		got <- answer{res, err}
+	}()
+	look := time.NewTimer(tuning.AnswerLate)
+	defer look.Stop()
+	for {
+		select {
+		case a := <-got:
+			if errors.Is(a.err, ErrUnknown) {
+				if rev, ok := c.view.Applied(txn.Apply, since); ok {
+					return wire.TxnResult{Revision: rev}, nil
+				}
+			}
+			return a.res, a.err
+		case <-look.C:
+			if rev, ok := c.view.Applied(txn.Apply, since); ok {
+				learned.Inc()
+				return wire.TxnResult{Revision: rev}, nil
+			}
+			look.Reset(tuning.AnswerLook)
+		}
+	}
+}
+
 func (c *Committer) fail(batch []*pending, err error) {
 	for _, p := range batch {
 		p.done <- outcome{err: err}
--- a/internal/store/commit_test.go
+++ b/internal/store/commit_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"math"
 	"net/http"
 	"slices"
@@ -127,7 +128,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(context.Background())
 			c := NewCommitter(NewClient("127.0.0.1:1", Limits{RPS: 1000, WriteRPS: 2, Share: 1, TxnOps: 1}, slow(time.Millisecond)), func([]wire.Op, uint64) {})
-			c.Passing(func(g wire.Guard) bool { return g.Stamp < 5 })
+			c.Follow(passed(5))
 			type result struct {
 				stale bool
 				err   error
@@ -163,3 +164,71 @@
 		})
 	})
 }
+
+// passed is a view in which all stamps below a number have passed; it shows nothing of what is sent.
+type passed uint64
+
+func (p passed) Stale(g wire.Guard) bool                  { return g.Stamp < uint64(p) }
+func (p passed) Applied([]wire.Op, uint64) (uint64, bool) { return 0, false }
+func (p passed) Revision() uint64                         { return 0 }
+
+// deafening carries transactions out into a cache and answers none.
+type deafening struct {
+	cache *Cache
+	rev   uint64
+	after time.Duration // until the watch shows them; 0: they are not carried out
+}
+
+func (d *deafening) RoundTrip(req *http.Request) (*http.Response, error) {
+	if d.after > 0 {
+		b, _ := io.ReadAll(req.Body)
+		var txn wire.Txn
+		if err := wire.Decode(b, &txn); err != nil {
+			return nil, err
+		}
+		time.Sleep(d.after)
+		d.rev++
+		news := wire.News{Revision: d.rev}
+		for _, o := range txn.Apply {
+			news.Events = append(news.Events, wire.Event{Set: o.Set, Drop: o.Drop, Value: o.Value, Stamp: d.rev})
+		}
+		d.cache.apply(d.rev-1, news, time.Now())
+	}
+	<-req.Context().Done()
+	return nil, req.Context().Err()
+}
+
+// TestLostAnswerIsLearnedFromTheView: a transaction that was carried out and whose answer is lost is known
+// as soon as the watch shows it; one of which nothing shows stays unknown, neither done nor failed.
+func TestLostAnswerIsLearnedFromTheView(t *testing.T) {
+	for name, c := range map[string]struct {
+		after, least, most time.Duration
+		want               error
+	}{
+		"shown at once":   {10 * time.Millisecond, tuning.AnswerLate, tuning.AnswerLate + tuning.AnswerLook, nil},
+		"shown later":     {600 * time.Millisecond, 600 * time.Millisecond, 600*time.Millisecond + 2*tuning.AnswerLook, nil},
+		"not carried out": {0, tuning.StateTimeout, tuning.StateTimeout + time.Second, ErrUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(context.Background())
+				d := &deafening{after: c.after}
+				client := NewClient("127.0.0.1:1", Limits{RPS: 100, WriteRPS: 100, TxnOps: 8}, d)
+				d.cache = NewCache(client, "s/", mapSink{}, slog.New(slog.DiscardHandler))
+				told := uint64(0)
+				m := NewCommitter(client, func(_ []wire.Op, rev uint64) { told = rev })
+				m.Follow(d.cache)
+				go func() { _ = m.Run(ctx) }()
+				start := time.Now()
+				rev, err := m.Do(ctx, Item{Guards: []wire.Guard{{Key: "s/a"}}, Ops: []wire.Op{Set("s/a", 1), Drop("s/b")}})
+				if took := time.Since(start); !errors.Is(err, c.want) || took < c.least || took > c.most {
+					t.Errorf("%v after %v", err, took)
+				}
+				if err == nil && (rev != 1 || told != 1) {
+					t.Errorf("revision %d, told %d", rev, told)
+				}
+				cancel()
+			})
+		})
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -43,6 +43,10 @@
 	// StateTimeout is how long a request to the state service may take: usual
 	// answers come under 10 ms, rare ones take a few hundred.
 	StateTimeout = 1500 * time.Millisecond
+	// AnswerLate is how long an answer to a transaction may take, far more than the usual one, before it is
+	// looked every AnswerLook whether the view shows what became of it.
+	AnswerLate = 150 * time.Millisecond
+	AnswerLook = 50 * time.Millisecond
 	// StateRetry is the pause after 429 or 503 from the state service.
 	StateRetry = 150 * time.Millisecond
 	// StateBody bounds one answer of the state service: watches have no limit
