Store: what the view has shown of a change on its way counts, also if the record has changed since

A job that is accepted is bound within a tenth of a second, so that its record no longer held what was sent when the committer looked. The changes of a key on its way are noted as they come, 32 at most.

--- a/internal/store/cache.go
+++ b/internal/store/cache.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -36,8 +37,7 @@
 	ready   bool
 	rev     uint64
 	stamps  map[string]uint64
-	sending map[string]int      // keys of this node's changes on their way
-	values  map[string]wire.Raw // of those keys, as they came meanwhile
+	sending map[string]*sending // keys of this node's changes on their way
 	dropped map[string]uint64   // our own drops that the watch has not shown yet
 
 	// What readers ask while they hold the sink's lock: they must not wait for
@@ -62,7 +62,7 @@
 		client: c, prefix: prefix, sink: sink, log: log,
 		pace:   rate.NewLimiter(rate.Limit(c.limits.RPS*c.limits.Share*tuning.WatchRateShare), 2),
 		space:  rate.NewLimiter(rate.Limit(c.limits.RPS*c.limits.Share*tuning.SyncRateShare), 2),
-		stamps: map[string]uint64{}, sending: map[string]int{}, values: map[string]wire.Raw{}, dropped: map[string]uint64{},
+		stamps: map[string]uint64{}, sending: map[string]*sending{}, dropped: map[string]uint64{},
 		next: &barrier{done: make(chan struct{})}, wake: make(chan struct{}, 1),
 	}
 }
@@ -152,9 +152,7 @@
 		return
 	}
 	c.stamps[key] = stamp
-	if c.sending[key] > 0 {
-		c.values[key] = v
-	}
+	c.sending[key].note(stamp, v)
 	c.sink.Put(key, v, stamp)
 }
 
@@ -163,9 +161,23 @@
 		return
 	}
 	delete(c.stamps, key)
+	c.sending[key].note(stamp, nil)
 	c.sink.Drop(key)
 }
 
+// sending is what became of a key while a change of it by this node was on its way.
+type sending struct {
+	count int // of such changes
+	came  map[uint64]wire.Raw
+}
+
+// note keeps a change that has come, by its revision; nil: it was dropped.
+func (s *sending) note(rev uint64, v wire.Raw) {
+	if s != nil && len(s.came) < tuning.SendingNotes {
+		s.came[rev] = v
+	}
+}
+
 // Sending notes changes that are about to be sent, until Sent, and gives a revision before any at which they
 // can be made: the view's own, and those of this node's own changes of the same keys, which run ahead of it.
 func (c *Cache) Sending(ops []wire.Op) (before uint64) {
@@ -173,8 +185,12 @@
 	defer c.mu.Unlock()
 	before = c.rev
 	for _, o := range ops {
-		before = max(before, c.stamps[o.Key()], c.dropped[o.Key()])
-		c.sending[o.Key()]++
+		k := o.Key()
+		before = max(before, c.stamps[k], c.dropped[k])
+		if c.sending[k] == nil {
+			c.sending[k] = &sending{came: map[uint64]wire.Raw{}}
+		}
+		c.sending[k].count++
 	}
 	return before
 }
@@ -184,36 +200,48 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, o := range ops {
-		if c.sending[o.Key()]--; c.sending[o.Key()] <= 0 {
-			delete(c.sending, o.Key())
-			delete(c.values, o.Key())
+		k := o.Key()
+		if c.sending[k].count--; c.sending[k].count == 0 {
+			delete(c.sending, k)
 		}
 	}
 }
 
-// Applied tells whether the view shows that all these changes were made together after a revision, and at
-// which: all keys that they set have the same new revision and these values, and those that they drop are gone. A change that sets
-// nothing that is followed here can't be told.
+// Applied tells whether the view has shown, since Sending, that all these changes were made together after a
+// revision, and at which: all keys that they set changed at it, to these values, and those that they drop
+// went at it or were not there. What has changed again since counts. A change that sets nothing that is
+// followed here can't be told.
 func (c *Cache) Applied(ops []wire.Op, since uint64) (rev uint64, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	var followed []wire.Op
+	first := -1
 	for _, o := range ops {
-		k := o.Key()
-		if !strings.HasPrefix(k, c.prefix) {
-			continue
+		if strings.HasPrefix(o.Key(), c.prefix) {
+			if followed = append(followed, o); o.Set != "" && first < 0 {
+				first = len(followed) - 1
+			}
 		}
-		stamp, there := c.stamps[k]
-		switch {
-		case o.Set == "" && there:
-			return 0, false
-		case o.Set == "":
-		case !there || stamp <= since || rev != 0 && stamp != rev || !wire.Same(c.values[k], o.Value):
-			return 0, false
-		default:
-			rev = stamp
+	}
+	if first < 0 {
+		return 0, false
+	}
+	for at := range c.sending[followed[first].Set].came {
+		if at > since && !slices.ContainsFunc(followed, func(o wire.Op) bool { return !c.made(o, at) }) {
+			return at, true
 		}
 	}
-	return rev, rev != 0
+	return 0, false
+}
+
+// made tells whether a change was made at a revision, as far as the view shows. Callers hold the lock.
+func (c *Cache) made(o wire.Op, at uint64) bool {
+	v, came := c.sending[o.Key()].came[at]
+	if o.Set == "" {
+		_, there := c.stamps[o.Drop]
+		return came && v == nil || !came && !there
+	}
+	return came && v != nil && wire.Same(v, o.Value)
 }
 
 // Local takes in a transaction of our own that was applied at a revision,
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -47,6 +47,8 @@
 	// looked every AnswerLook whether the view shows what became of it.
 	AnswerLate = 150 * time.Millisecond
 	AnswerLook = 50 * time.Millisecond
+	// SendingNotes bounds the changes of one key that are kept while a change of it is on its way.
+	SendingNotes = 32
 	// StateRetry is the pause after 429 or 503 from the state service.
 	StateRetry = 150 * time.Millisecond
 	// StateBody bounds one answer of the state service: watches have no limit
