--- a/internal/standin/meetings_test.go
+++ b/internal/standin/meetings_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"sableusher/internal/config"
+	"sableusher/internal/tuning"
 	"sableusher/internal/wire"
 	"sableusher/internal/world"
 )
@@ -311,11 +312,14 @@
 		})
 	}
 	// The last tasks of a job with several records end in changes of further ones.
-	many := wire.Spec{ID: "run-000900", Class: "many", Team: "open", Kind: wire.KindArray, Priority: wire.PriorityNormal, Tasks: 200, CPUs: 0.1, MemoryGB: 0.2, Image: "img-1", ImageGB: 1, EstimateS: 30}
-	r.wg.Go(func() {
-		time.Sleep(20 * time.Second)
-		r.User(ctx, many, 30, 0)
-	})
+	for i := range 4 {
+		many := wire.Spec{ID: fmt.Sprintf("run-%06d", 900+i), Class: "many", Team: "open", Kind: wire.KindArray, Priority: wire.PriorityNormal, Tasks: tuning.ChunkTasks + 5,
+			CPUs: 0.1, MemoryGB: 0.2, Image: "img-1", ImageGB: 1, EstimateS: 30}
+		r.wg.Go(func() {
+			time.Sleep(time.Duration(20+50*i) * time.Second)
+			r.User(ctx, many, 30, 0)
+		})
+	}
 	time.Sleep(time.Duration(25+rnd.IntN(20)) * time.Second)
 	last := time.Now()
 	times := d.times
