--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -1,11 +1,15 @@
 package place
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"log/slog"
+	"net/http"
+	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
@@ -504,3 +508,73 @@
 		}
 	}
 }
+
+// forgetful answers no transaction that binds a task, and carries out all others.
+type forgetful struct {
+	fenced bool // the part's record was written again
+	early  bool // the binding's record was open to others before that
+	engine *Engine
+}
+
+func (f *forgetful) RoundTrip(req *http.Request) (*http.Response, error) {
+	answer := func(v any) (*http.Response, error) {
+		return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(bytes.NewReader(wire.MustEncode(v)))}, nil
+	}
+	if req.URL.Path != "/multi" {
+		return answer(wire.News{Revision: 1000})
+	}
+	b, _ := io.ReadAll(req.Body)
+	var txn wire.Txn
+	if err := wire.Decode(b, &txn); err != nil {
+		return nil, err
+	}
+	for _, o := range txn.Apply {
+		if strings.HasPrefix(o.Set, world.JobKey("")) {
+			<-req.Context().Done()
+			return nil, req.Context().Err()
+		}
+		f.engine.mu.Lock()
+		if f.fenced = true; !f.engine.busy[world.JobKey("run-1")] || len(f.engine.moving) == 0 {
+			f.early = true
+		}
+		f.engine.mu.Unlock()
+	}
+	return answer(wire.TxnResult{Revision: 1000})
+}
+
+// TestUnknownOutcomeIsFenced: a binding whose transaction gets no answer may yet be carried out, after newer ones.
+// Its room, its team's share and its record count as taken until the part's record has been written anew, which
+// its guard does not outlive. Freed before, a grant could be lowered under it.
+func TestUnknownOutcomeIsFenced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newField(t)
+		name := f.machine(1, false)
+		part := world.PartOf(name, testParts)
+		e := f.engines[part]
+		rt := &forgetful{engine: e}
+		client := store.NewClient("10.0.0.1:1", store.Limits{RPS: 1000, WriteRPS: 1000, ValueKB: 16, TxnOps: 32}, rt)
+		e.commit = store.NewCommitter(client, func([]wire.Op, uint64) {})
+		node := fmt.Sprintf("node-%d", part)
+		e.member = member.New(node, 1, []string{node}, tuning.Level, client, e.commit, store.NewCache(client, world.Root, f.world, slog.New(slog.DiscardHandler)), f.world, slog.New(slog.DiscardHandler))
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = e.commit.Run(ctx) }()
+		e.ctx = ctx
+		c := &change{what: "tasks of run-1", keys: []string{world.JobKey("run-1")}, parts: []int{part},
+			binds: []bind{{world.TaskRef{Job: "run-1"}, name, part, "t", world.Amount{GPUs: 1}}},
+			item:  store.Item{Guards: []wire.Guard{{Key: world.PartKey(part)}}, Ops: []wire.Op{store.Set(world.JobKey("run-1"), 1)}}}
+		e.mu.Lock()
+		e.busy[c.keys[0]], e.moving[0] = true, c
+		e.mu.Unlock()
+		done := make(chan struct{})
+		go func() {
+			e.carry(0, c)
+			close(done)
+		}()
+		time.Sleep(20 * time.Second)
+		cancel()
+		<-done
+		if !rt.fenced || rt.early {
+			t.Errorf("fenced: %v, freed before: %v", rt.fenced, rt.early)
+		}
+	})
+}
