--- a/internal/standin/meetings_test.go
+++ b/internal/standin/meetings_test.go
@@ -220,7 +220,7 @@
 }{
 	{"controllers hand over and back, all end, one returns", meetingDay{troubles: []string{"leader back within a second", "all end, one returns first"}}, []string{"changes of leader"}},
 	{"a command or its answer is held up", meetingDay{troubles: []string{"commands held", "machines hang"}}, nil},
-	{"a cancellation, question or repeat at the end of the last task", meetingDay{troubles: []string{"called off at the end", "close looks"}}, []string{"called off at its end", "close looks answered"}},
+	{"a cancellation, question or repeat at the end of the last task", meetingDay{troubles: []string{"called off at the end", "close looks", "slow state"}}, []string{"called off at its end", "close looks answered"}},
 	{"ten leaders in two minutes, inside an outage", meetingDay{troubles: []string{"ten leaders", "outage"}, times: 1}, []string{"changes of leader"}},
 	{"jobs bound to a zone lose machines", meetingDay{troubles: []string{"machines lost"}, bound: true}, nil},
 	{"workers that reach no controller", meetingDay{troubles: []string{"machines mute"}}, nil},
@@ -233,7 +233,7 @@
 	{"machines up within two seconds, late writes, the leader ends", meetingDay{troubles: []string{"late writes", "fast machines", "leader ends"}}, []string{"up within two seconds", "late writes", "changes of leader"}},
 	{"a report is held back until a new leader has acted", meetingDay{troubles: []string{"late reports", "leader ends"}}, []string{"copies", "changes of leader"}},
 	{"cancellations as a part changes hands", meetingDay{troubles: []string{"called off as hands change", "leader ends"}}, []string{"called off as a part changes hands", "called off while running"}},
-	{"questions at all nodes within milliseconds", meetingDay{troubles: []string{"close looks", "odd requests", "called off at once"}}, []string{"close looks answered", "odd requests refused"}},
+	{"questions at all nodes within milliseconds", meetingDay{troubles: []string{"slow state", "close looks", "odd requests", "called off at once"}}, []string{"close looks answered", "odd requests refused"}},
 	{"cancellations as the leader is refused, then an outage", meetingDay{troubles: []string{"refused, called off, then all"}, times: 1}, []string{"called off while running"}},
 	{"an old report reaches every controller as a leader begins", meetingDay{troubles: []string{"copies for the next leader", "leader ends"}}, []string{"copies before a live report"}},
 	{"a leader ends, machines with long tasks out of reach", meetingDay{troubles: []string{"machines cut", "deaf machines", "leader ends"}, long: true}, []string{"changes of leader"}},
