Store: a drop counts as made only where the view has shown it at that revision

A key that was not there, or that another node had dropped before, was taken for dropped by the transaction on its way; beside an identical change of its other keys it would have been called carried out. Found by rereading; stricter now: what drops a key that is not there stays unknown until its answer. The generated histories hold it.

--- a/internal/store/cache.go
+++ b/internal/store/cache.go
@@ -209,8 +209,8 @@
 
 // Applied tells whether the view has shown, since Sending, that all these changes were made together after a
 // revision, and at which: all keys that they set changed at it, to these values, and those that they drop
-// went at it or were not there. What has changed again since counts. A change that sets nothing that is
-// followed here can't be told.
+// went at it. What has changed again since counts. A change that sets nothing that is followed here, or drops
+// what is not there, can't be told.
 func (c *Cache) Applied(ops []wire.Op, since uint64) (rev uint64, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -238,8 +238,7 @@
 func (c *Cache) made(o wire.Op, at uint64) bool {
 	v, came := c.sending[o.Key()].came[at]
 	if o.Set == "" {
-		_, there := c.stamps[o.Drop]
-		return came && v == nil || !came && !there
+		return came && v == nil
 	}
 	return came && v != nil && wire.Same(v, o.Value)
 }
