--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -578,3 +579,39 @@
 		}
 	})
 }
+
+// TestZoneOfALongJobIsChosenOnce: bindings in different records of a job whose tasks must be in one zone write
+// the job's own record too, so that two nodes that choose at once collide; and while a task of it is bound to a
+// machine that no record knows, none is bound, as its zone is not known.
+func TestZoneOfALongJobIsChosenOnce(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		f := newField(t)
+		for i := range 30 {
+			f.machine(i, false)
+		}
+		s := array(1, tuning.ChunkTasks+4)
+		s.OneZone, s.Team, s.Class, s.CPUs, s.GPUs, s.MemoryGB = true, "t", "c", 1, 0, 1
+		var first []world.Task
+		for i := range tuning.ChunkTasks {
+			first = append(first, world.Task{Index: i, State: world.Done, Attempt: 1})
+		}
+		if lost {
+			first[0] = world.Task{Index: 0, State: world.Bound, Attempt: 1, Machine: "vm-999999", Session: 1}
+		}
+		f.put(world.JobKey(s.ID), world.JobRecord{Spec: s, AtMs: testNow.UnixMilli(), Tasks: first})
+		bound := 0
+		for i := range f.engines {
+			r, binds := f.round(i)
+			bound += len(binds)
+			for _, c := range r.out {
+				own := slices.ContainsFunc(c.item.Ops, func(o wire.Op) bool { return o.Set == world.JobKey(s.ID) })
+				if len(c.binds) > 0 && !own {
+					t.Errorf("node %d binds %d tasks without the job's own record: %v", i, len(c.binds), c.keys)
+				}
+			}
+		}
+		if (bound == 0) != lost {
+			t.Errorf("a task out of sight: %v, %d bound", lost, bound)
+		}
+	}
+}
