Fleet: what answers again after a cut has time to find its owner before it counts as mute

Cause: a machine that comes back from a cut answers commands before its first report, and its last report lies as far back as the cut was long: it was mute at once, its lease taken for over, and its replicas were stopped.

Mend: reports are awaited from the first answer after one that failed, with the time that a worker needs to find a node, as for a new owner. TestMuteMachine goes through a cut now and failed before.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -478,7 +478,7 @@
 		f.log.Debug("orders unanswered", "machine", name, "err", err)
 		return
 	}
-	if m.obeyed = time.Now(); deaf {
+	if m.answers(time.Now()); deaf {
 		f.kick(name) // orders can follow
 		f.learned(name)
 	}
@@ -572,15 +572,12 @@
 		s.OneWay = m.deafFrom
 	}
 	silent := f.reports(tuning.SilentAfter)
-	if due := silent; !m.since.IsZero() && m.hears() {
-		last := m.beatAt
-		if m.since.After(last) {
-			last, due = m.since, due+tuning.FindNode // it looks for its part's new owner
-		}
-		s.Mute = now.Sub(last) > due && m.obeyed.After(last) && now.Sub(m.heard) < silent
-		s.Lapse = last.Add(f.set.Lease())
+	if m.hears() {
+		from, find := m.awaited()
+		s.Mute = now.Sub(from) > silent+find && m.obeyed.After(from) && now.Sub(m.heard) < silent
+		s.Lapse = from.Add(f.set.Lease())
 		if s.Mute {
-			s.OneWay = last
+			s.OneWay = from
 		}
 	}
 	s.Usable = m.session != 0 && m.token == token && m.recall.IsZero() && now.Sub(m.heard) < silent && !s.Unanswered && !m.deaf() && !s.Mute &&
--- a/internal/fleet/late_test.go
+++ b/internal/fleet/late_test.go
@@ -197,5 +197,22 @@
 		}
 		k.Beat(&wire.Report{Machine: m, Address: "10.1.0.1:9000", Session: 2, Seq: 9, Token: 5})
 		look("a report comes", true, false)
+		// It is cut off for longer than a lease, and answers before its first report finds the way.
+		seq = 9
+		time.Sleep(40 * time.Second)
+		k.mu.Lock()
+		k.machines[m].unheard(time.Now())
+		k.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		back := time.Now()
+		ask(0)
+		ask(8 * time.Second)
+		look("it is back from a cut", true, false)
+		if s := k.Look(m, 5); !s.Lapse.Equal(back.Add(k.set.Lease())) {
+			t.Errorf("its lease ends %v after it is back", s.Lapse.Sub(back))
+		}
+		ask(10 * time.Second)
+		ask(11 * time.Second)
+		look("no report follows", false, true)
 	})
 }
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -64,6 +64,7 @@
 	obeyed   time.Time // when it was last known to hear this node
 	beatAt   time.Time // when its last report came that asked for an answer
 	since    time.Time // when this node first heard of it
+	back     time.Time // when it answered a command again, after some without an answer since its last report
 	deafFrom time.Time // when the first command since then failed
 }
 
@@ -80,7 +81,28 @@
 	if !m.deaf() {
 		m.deafFrom = now
 	}
-	m.directAt = now
+	m.directAt, m.back = now, time.Time{}
+}
+
+// answers notes that a direct command got an answer.
+func (m *machine) answers(now time.Time) {
+	m.obeyed = now
+	if m.directAt.After(m.beatAt) && m.back.IsZero() {
+		m.back = now
+	}
+}
+
+// awaited is from when on reports of a machine that answers are to be expected, and how long the first may
+// take: a worker that is new to this node, or that was out of reach, first has to find its part's owner. What
+// came back from a cut was once taken for mute at once, and its replicas were stopped.
+func (m *machine) awaited() (from time.Time, find time.Duration) {
+	from = m.beatAt
+	for _, t := range []time.Time{m.since, m.back} {
+		if t.After(from) {
+			from, find = t, tuning.FindNode
+		}
+	}
+	return from, find
 }
 
 // stays tells whether a report shows that its worker heard the answer to the one before: after
@@ -141,7 +163,7 @@
 		m.recall = now.Add(time.Duration(*r.NoticeS * float64(time.Second)))
 	}
 	if beat {
-		m.beatSeq, m.beatAt = r.Seq, now
+		m.beatSeq, m.beatAt, m.back = r.Seq, now, time.Time{}
 	}
 	if m.since.IsZero() {
 		m.since = now
