Fleet: a session that only an answer tells of is recorded for mute machines alone

Where a report follows an answer it tells of the session as before. TestMuteMachine, TestMuteMachinesAreLeft and TestOneWayMachinesAreGivenUp pass twice over.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -488,9 +488,10 @@
 			if changed {
 				f.learned(name)
 			}
-			// A worker whose reports don't come through tells of a new session here alone. Others bind gangs
-			// and services to the one on record, which this node ends at once, and both over and over.
-			if rec := f.world.Machines[name]; rec != nil && max(rec.Session, 1) != m.session {
+			// A mute worker tells of a new session here alone. Others bind gangs and services to the one
+			// on record, which this node ends at once, and both over and over. Where a report follows it tells
+			// of it: a zone's sessions, recorded at once as it came back, kept its replicas waiting.
+			if rec := f.world.Machines[name]; rec != nil && max(rec.Session, 1) != m.session && f.mute(m, time.Now()) {
 				f.adopt[name] = *rep
 				f.poke()
 			}
@@ -556,6 +557,14 @@
 	Errors int
 }
 
+// mute tells whether a machine answers commands while its reports have been due for some time. Callers hold
+// the lock.
+func (f *Fleet) mute(m *machine, now time.Time) bool {
+	from, find := m.awaited()
+	silent := f.reports(tuning.SilentAfter)
+	return m.hears() && now.Sub(from) > silent+find && m.obeyed.After(from) && now.Sub(m.heard) < silent
+}
+
 // Look gives a machine's state under a token.
 func (f *Fleet) Look(name string, token uint64) State {
 	f.mu.Lock()
@@ -572,13 +581,10 @@
 		s.OneWay = m.deafFrom
 	}
 	silent := f.reports(tuning.SilentAfter)
-	if m.hears() {
-		from, find := m.awaited()
-		s.Mute = now.Sub(from) > silent+find && m.obeyed.After(from) && now.Sub(m.heard) < silent
-		s.Lapse = from.Add(f.set.Lease())
-		if s.Mute {
-			s.OneWay = from
-		}
+	from, _ := m.awaited()
+	s.Lapse = from.Add(f.set.Lease())
+	if s.Mute = f.mute(m, now); s.Mute {
+		s.OneWay = from
 	}
 	s.Usable = m.session != 0 && m.token == token && m.recall.IsZero() && now.Sub(m.heard) < silent && !s.Unanswered && !m.deaf() && !s.Mute &&
 		now.Sub(m.refused) > tuning.RefuseHold && len(m.errors) < tuning.MachineErrors
