Reread: one look of a committer, one account of a mute machine

Behaviour as it was. A committer looks at the view in one place, whether the answer is late or lost (the metric counts both now, as its text says). Applied gathers no list of its own. What a look at a machine has found, its lease's end too, is handed on instead of being looked up again, and a check of a busy record that the loop had made is gone. Complete is asked where its terms were written out.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -491,7 +491,8 @@
 			// A mute worker tells of a new session here alone. Others bind gangs and services to the one
 			// on record, which this node ends at once, and both over and over. Where a report follows it tells
 			// of it: a zone's sessions, recorded at once as it came back, kept its replicas waiting.
-			if rec := f.world.Machines[name]; rec != nil && max(rec.Session, 1) != m.session && f.mute(m, time.Now()) {
+			_, mute := f.mute(m, time.Now())
+			if rec := f.world.Machines[name]; mute && rec != nil && max(rec.Session, 1) != m.session {
 				f.adopt[name] = *rep
 				f.poke()
 			}
@@ -557,12 +558,12 @@
 	Errors int
 }
 
-// mute tells whether a machine answers commands while its reports have been due for some time. Callers hold
-// the lock.
-func (f *Fleet) mute(m *machine, now time.Time) bool {
+// mute tells whether a machine answers commands while its reports have been due for some time, and from when
+// on they are awaited. Callers hold the lock.
+func (f *Fleet) mute(m *machine, now time.Time) (from time.Time, is bool) {
 	from, find := m.awaited()
 	silent := f.reports(tuning.SilentAfter)
-	return m.hears() && now.Sub(from) > silent+find && m.obeyed.After(from) && now.Sub(m.heard) < silent
+	return from, m.hears() && now.Sub(from) > silent+find && m.obeyed.After(from) && now.Sub(m.heard) < silent
 }
 
 // Look gives a machine's state under a token.
@@ -581,9 +582,9 @@
 		s.OneWay = m.deafFrom
 	}
 	silent := f.reports(tuning.SilentAfter)
-	from, _ := m.awaited()
-	s.Lapse = from.Add(f.set.Lease())
-	if s.Mute = f.mute(m, now); s.Mute {
+	from, mute := f.mute(m, now)
+	s.Mute, s.Lapse = mute, from.Add(f.set.Lease())
+	if mute {
 		s.OneWay = from
 	}
 	s.Usable = m.session != 0 && m.token == token && m.recall.IsZero() && now.Sub(m.heard) < silent && !s.Unanswered && !m.deaf() && !s.Mute &&
--- a/internal/place/settle.go
+++ b/internal/place/settle.go
@@ -202,7 +202,7 @@
 		if r.busy[key] {
 			continue
 		}
-		if j.Spec.Kind == wire.KindGang && j.Done > 0 && j.Bound == 0 && j.Done < j.Spec.Tasks && j.Known && !j.Cancelled() {
+		if j.Spec.Kind == wire.KindGang && j.Done > 0 && j.Bound == 0 && j.Known && !j.Complete() && !j.Cancelled() {
 			r.completeGang(j)
 			continue
 		}
--- a/internal/place/silent.go
+++ b/internal/place/silent.go
@@ -31,7 +31,7 @@
 // machinesDue deletes machines that are silent, stuck or failing.
 func (r *round) machinesDue() {
 	var list []silence.Machine
-	var mute []*world.Machine
+	var mute []muted
 	open := r.openZones()
 	for _, name := range slices.Sorted(maps.Keys(r.world.Machines)) {
 		m := r.world.Machines[name]
@@ -43,19 +43,20 @@
 		list = append(list, silence.Machine{Name: name, Zone: m.Zone, Part: m.Part, Up: m.Up, Session: s.Session, Heard: s.Heard, Owned: r.owned[m.Part],
 			Unanswered: s.Unanswered, Late: r.late(m), Bound: len(m.Bound), Moves: r.movable(m, open), Inside: r.inside(m.Zone)})
 		if s.Mute {
-			mute = append(mute, m)
+			mute = append(mute, muted{m, s.Lapse})
 		}
 		if m.Up && s.Deaf {
 			r.oneWay(m, "hears nothing")
 		}
+		empty := len(m.Bound) == 0 && r.moveM[name] == (world.Amount{})
 		switch {
 		case !m.Up && s.Heard.IsZero():
 			if r.neverUp(m) && !r.silence.Troubled(m.Zone) {
 				r.giveUp(silence.Victim{Name: name, Why: "never came up"})
 			}
-		case !m.Up && len(m.Bound) == 0 && r.moveM[name] == (world.Amount{}) && !s.OneWay.IsZero() && r.now.Sub(s.OneWay) > tuning.OneWayLife && !r.silence.Troubled(m.Zone):
+		case !m.Up && empty && !s.OneWay.IsZero() && r.now.Sub(s.OneWay) > tuning.OneWayLife && !r.silence.Troubled(m.Zone):
 			r.giveUp(silence.Victim{Name: name, Why: "reached in one direction only"})
-		case len(m.Bound) == 0 && r.moveM[name] == (world.Amount{}) && s.Errors >= tuning.MachineErrors:
+		case empty && s.Errors >= tuning.MachineErrors:
 			r.giveUp(silence.Victim{Name: name, Why: "failing"})
 		}
 		if s.Doubt && r.unwanted(m) && r.now.Sub(r.fenced[m.Part]) > tuning.FenceEvery {
@@ -107,24 +108,29 @@
 	r.stale[m.Name] = struct{}{}
 }
 
+// muted is a mute machine, and when its lease ends.
+type muted struct {
+	*world.Machine
+	lapse time.Time
+}
+
 // leaveMute deals with machines that answer commands while their reports reach no node. Nothing renews their
 // leases, and what runs on them ends with those: nothing more is started there, and what can save or
 // start elsewhere leaves ahead of it, spread over what is left of the lease, as replicas that all end
 // at once find less room. Where most machines of this node seem to be mute it is this node that can't be
 // reached, and its parts go to one that can.
-func (r *round) leaveMute(mute []*world.Machine, all int) {
+func (r *round) leaveMute(mute []muted, all int) {
 	if 2*len(mute) > all {
 		return
 	}
 	lead := time.Duration(tuning.MuteLeaves * float64(r.set.Lease()))
 	for _, m := range mute {
-		if m.Up && !r.busy[world.MachineKey(m.Name)] {
-			r.oneWay(m, "reaches no node")
+		if m.Up {
+			r.oneWay(m.Machine, "reaches no node")
 		}
-		lapse := r.fleet.Look(m.Name, r.tokens[m.Part]).Lapse
 		step := float64(world.PartOf(m.Name, tuning.MuteSteps)) / tuning.MuteSteps
-		if wait := time.Duration(step * float64(lead-tuning.LeaseMargin)); r.now.After(lapse.Add(wait - lead)) {
-			r.evacuate(m)
+		if wait := time.Duration(step * float64(lead-tuning.LeaseMargin)); r.now.After(m.lapse.Add(wait - lead)) {
+			r.evacuate(m.Machine)
 		}
 	}
 }
--- a/internal/store/cache.go
+++ b/internal/store/cache.go
@@ -214,28 +214,24 @@
 func (c *Cache) Applied(ops []wire.Op, since uint64) (rev uint64, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var followed []wire.Op
-	first := -1
-	for _, o := range ops {
-		if strings.HasPrefix(o.Key(), c.prefix) {
-			if followed = append(followed, o); o.Set != "" && first < 0 {
-				first = len(followed) - 1
-			}
-		}
-	}
+	first := slices.IndexFunc(ops, func(o wire.Op) bool { return strings.HasPrefix(o.Set, c.prefix) })
 	if first < 0 {
 		return 0, false
 	}
-	for at := range c.sending[followed[first].Set].came {
-		if at > since && !slices.ContainsFunc(followed, func(o wire.Op) bool { return !c.made(o, at) }) {
+	for at := range c.sending[ops[first].Set].came {
+		if at > since && !slices.ContainsFunc(ops, func(o wire.Op) bool { return !c.made(o, at) }) {
 			return at, true
 		}
 	}
 	return 0, false
 }
 
-// made tells whether a change was made at a revision, as far as the view shows. Callers hold the lock.
+// made tells whether a change was made at a revision, as far as the view shows; keys that are not followed
+// change with the others. Callers hold the lock.
 func (c *Cache) made(o wire.Op, at uint64) bool {
+	if !strings.HasPrefix(o.Key(), c.prefix) {
+		return true
+	}
 	v, came := c.sending[o.Key()].came[at]
 	if o.Set == "" {
 		return came && v == nil
--- a/internal/store/commit.go
+++ b/internal/store/commit.go
@@ -389,21 +389,22 @@
 	look := time.NewTimer(tuning.AnswerLate)
 	defer look.Stop()
 	for {
+		var a answer
 		select {
-		case a := <-got:
-			if errors.Is(a.err, ErrUnknown) {
-				if rev, ok := c.view.Applied(txn.Apply, since); ok {
-					return wire.TxnResult{Revision: rev}, nil
-				}
+		case a = <-got:
+			if !errors.Is(a.err, ErrUnknown) {
+				return a.res, a.err
 			}
-			return a.res, a.err
 		case <-look.C:
-			if rev, ok := c.view.Applied(txn.Apply, since); ok {
-				learned.Inc()
-				return wire.TxnResult{Revision: rev}, nil
-			}
 			look.Reset(tuning.AnswerLook)
 		}
+		if rev, ok := c.view.Applied(txn.Apply, since); ok {
+			learned.Inc()
+			return wire.TxnResult{Revision: rev}, nil
+		}
+		if a.err != nil {
+			return a.res, a.err
+		}
 	}
 }
 
