Reread, stand-ins: one way to ask, one to deliver a report again, one watch for a change of tokens

Five places asked a user's question and told the oracle, two posted a copy of a report, three loops waited for a token to rise, each in its own words; a counter was read by nobody.

--- a/internal/standin/meetings_test.go
+++ b/internal/standin/meetings_test.go
@@ -12,7 +12,6 @@
 	"sableusher/internal/config"
 	"sableusher/internal/tuning"
 	"sableusher/internal/wire"
-	"sableusher/internal/world"
 )
 
 // A meeting's troubles come within a few seconds of each other, each for its own span. They are those
@@ -359,18 +358,12 @@
 
 // watchLeader counts changes of the leader, and whether a team was at its limit then.
 func (r *Region) watchLeader(ctx context.Context) {
-	var before uint64
-	for ctx.Err() == nil {
-		time.Sleep(100 * time.Millisecond)
-		now := r.owner(world.Leader).Token
-		if before != 0 && now != before {
-			r.Oracle.Meets("changes of leader", 1)
-			if r.Oracle.AtLimit() {
-				r.Oracle.Meets("a team at its limit as the leader changes", 1)
-			}
+	r.onChange(ctx, 100*time.Millisecond, time.Now().Add(24*time.Hour), r.leader, func() {
+		r.Oracle.Meets("changes of leader", 1)
+		if r.Oracle.AtLimit() {
+			r.Oracle.Meets("a team at its limit as the leader changes", 1)
 		}
-		before = now
-	}
+	})
 }
 
 // judge fails a day that broke a rule or left a job behind.
--- a/internal/standin/oracle.go
+++ b/internal/standin/oracle.go
@@ -393,12 +393,12 @@
 	return slices.Sorted(maps.Keys(found))
 }
 
-// Open lists the accepted jobs that are not over, and Over those that are, in order.
+// Open lists the accepted jobs whose users were told no end yet, in order.
 func (o *Oracle) Open() []string {
 	return o.list(func(j *truth) bool { return j.accepted && j.told == "" })
 }
 
-// Over lists the jobs whose users were told that they are done.
+// Over lists the jobs whose users were told that they are done, in order.
 func (o *Oracle) Over() []string {
 	return o.list(func(j *truth) bool { return j.told == wire.JobDone })
 }
--- a/internal/standin/region.go
+++ b/internal/standin/region.go
@@ -311,7 +311,9 @@
 				w.step(now)
 			}
 		}
+		var rooms []Room
 		if i%10 == 0 {
+			rooms = r.rooms()
 			l := listing{at: now}
 			for _, m := range r.machines {
 				row := m.Listed
@@ -323,10 +325,6 @@
 				r.listings = r.listings[1:]
 			}
 		}
-		var rooms []Room
-		if i%10 == 0 {
-			rooms = r.rooms()
-		}
 		r.mu.Unlock()
 		r.Oracle.Check()
 		if i%10 == 0 {
@@ -538,13 +536,18 @@
 			return
 		case <-time.After(d):
 		}
-		req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to+"/agent/beat", bytes.NewReader(body))
-		if resp, err := r.Net.From(from, func() bool { return true }).RoundTrip(req); err == nil {
-			resp.Body.Close()
-		}
+		r.deliver(ctx, from, to, body)
 	})
 }
 
+// deliver lets a report arrive once more; nobody hears the answer.
+func (r *Region) deliver(ctx context.Context, from, to string, body []byte) {
+	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to+"/agent/beat", bytes.NewReader(body))
+	if resp, err := r.Net.From(from, func() bool { return true }).RoundTrip(req); err == nil {
+		resp.Body.Close()
+	}
+}
+
 // Apart cuts a controller off from the state service and from the other controllers; workers and
 // users still reach it.
 func (r *Region) Apart(i int, hold bool, until time.Time) {
@@ -561,14 +564,9 @@
 func (r *Region) Leading() int {
 	most, at := -1, 0
 	owners := map[string]int{}
-	for k, row := range r.State.Snapshot() {
-		var p world.PartRecord
-		if strings.HasPrefix(k, "s/p/") && wire.Decode(row.Value, &p) == nil {
-			owners[p.Owner]++
-			if k == world.PartKey(world.Leader) {
-				owners[p.Owner] += len(r.nodes)
-			}
-		}
+	owners[r.owner(world.Leader).Owner] = len(r.nodes) + 1
+	for p := range r.Set.Deployment.Size {
+		owners[r.owner(p).Owner]++
 	}
 	for i, c := range r.nodes {
 		if owners[c.Set.Node] > most {
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -39,8 +39,7 @@
 
 	lost     odds              // transactions that are carried out at once, and whose answer is lost
 	lostRevs map[uint64]string // who wrote the revisions whose answer was lost
-	Lost     int               // such answers of transactions that were carried out
-	LostRead int               // of these, how often another node read what was written
+	LostRead int               // how often another node read what such a transaction wrote
 
 	late  odds // transactions that get no answer and are carried out later
 	slow  odds // requests that take long
@@ -278,7 +277,6 @@
 		if s.lost.hit() {
 			w.Header().Set(lostHeader, "1")
 			if s.rev > before {
-				s.Lost++
 				s.lostRevs[s.rev] = r.Header.Get(fromHeader)
 			}
 		}
--- a/internal/standin/trouble.go
+++ b/internal/standin/trouble.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -17,7 +16,6 @@
 
 // keptReport is a report that the network delivers again to a new leader.
 type keptReport struct {
-	from string
 	body []byte
 	at   time.Time
 }
@@ -41,7 +39,7 @@
 // keep keeps a copy of a share of the reports for the next leader. Callers hold the lock.
 func (r *Region) keep(from string, body []byte) {
 	if r.kept.hit() {
-		r.keeping[from] = keptReport{from, body, time.Now()}
+		r.keeping[from] = keptReport{body, time.Now()}
 	}
 }
 
@@ -52,14 +50,7 @@
 	r.kept = odds{share, until, rand.New(rand.NewPCG(seed, 55))}
 	r.mu.Unlock()
 	r.wg.Go(func() {
-		before := r.owner(world.Leader)
-		for ctx.Err() == nil && time.Now().Before(until) {
-			time.Sleep(20 * time.Millisecond)
-			now := r.owner(world.Leader)
-			if now.Token == before.Token {
-				continue
-			}
-			before = now
+		r.onChange(ctx, 20*time.Millisecond, until, r.leader, func() {
 			r.mu.Lock()
 			copies := r.keeping
 			r.keeping = map[string]keptReport{}
@@ -73,23 +64,31 @@
 			r.Copies += len(copies) * len(r.nodes)
 			r.mu.Unlock()
 			r.Oracle.Meets("copies before a live report", first)
-			for _, c := range copies {
+			for from, c := range copies {
 				for _, n := range r.nodes {
-					r.wg.Go(func() { r.deliver(ctx, c, n) })
+					r.wg.Go(func() { r.deliver(ctx, from, n.Address, c.body) })
 				}
 			}
-		}
+		})
 	})
 }
 
-// deliver delivers a kept report to a node.
-func (r *Region) deliver(ctx context.Context, c keptReport, n *Controller) {
-	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.Address+"/agent/beat", bytes.NewReader(c.body))
-	if resp, err := r.Net.From(c.from, func() bool { return true }).RoundTrip(req); err == nil {
-		resp.Body.Close()
+// onChange calls do whenever a token that is read so often has risen, from its first value on, until a time.
+func (r *Region) onChange(ctx context.Context, every time.Duration, until time.Time, read func() uint64, do func()) {
+	before := read()
+	for ctx.Err() == nil && time.Now().Before(until) {
+		time.Sleep(every)
+		now := read()
+		if before != 0 && now != before {
+			do()
+		}
+		before = now
 	}
 }
 
+// leader gives the leader's token.
+func (r *Region) leader() uint64 { return r.owner(world.Leader).Token }
+
 // owner gives the record of a part's owner.
 func (r *Region) owner(part int) world.PartRecord {
 	var p world.PartRecord
@@ -178,30 +177,20 @@
 func (r *Region) CancelAsHandsChange(ctx context.Context, n int, until time.Time, seed uint64) {
 	rnd := rand.New(rand.NewPCG(seed, 57))
 	r.wg.Go(func() {
-		before := r.tokens()
-		for ctx.Err() == nil && time.Now().Before(until) {
-			time.Sleep(50 * time.Millisecond)
-			now := r.tokens()
-			changed := false
-			for p, t := range now {
-				changed = changed || t != before[p]
-			}
-			if before = now; changed {
-				time.Sleep(time.Duration(rnd.IntN(300)) * time.Millisecond)
-				r.CancelNow(ctx, n, 0, 0, rnd)
-				r.Oracle.Meets("called off as a part changes hands", 1)
-			}
-		}
+		r.onChange(ctx, 50*time.Millisecond, until, r.tokens, func() {
+			time.Sleep(time.Duration(rnd.IntN(300)) * time.Millisecond)
+			r.CancelNow(ctx, n, 0, 0, rnd)
+			r.Oracle.Meets("called off as a part changes hands", 1)
+		})
 	})
 }
 
-// tokens gives the parts' tokens.
-func (r *Region) tokens() map[int]uint64 {
-	out := map[int]uint64{}
+// tokens adds the parts' tokens up: it rises with each of them.
+func (r *Region) tokens() (sum uint64) {
 	for p := range r.Set.Deployment.Size {
-		out[p] = r.owner(p).Token
+		sum += r.owner(p).Token
 	}
-	return out
+	return sum
 }
 
 // CloseLooks lets users ask at all nodes within milliseconds right after an answer, until a time.
@@ -228,10 +217,7 @@
 			}
 			r.wg.Go(func() {
 				time.Sleep(d)
-				asked := time.Now()
-				status, state := r.callAt(ctx, n, method, path, with, timeout)
-				r.Oracle.AnswerTo(id, asked, status, state)
-				if status == http.StatusOK {
+				if status, _ := r.ask(ctx, n, id, method, path, with, timeout); status == http.StatusOK {
 					r.Oracle.Meets("close looks answered", 1)
 				}
 			})
@@ -250,9 +236,7 @@
 		return ids[rnd.IntN(len(ids))]
 	}
 	send := func(id string, method, path string, body []byte) int {
-		asked := time.Now()
-		status, state := r.call(ctx, method, path, body, 5*time.Second)
-		r.Oracle.AnswerTo(id, asked, status, state)
+		status, _ := r.ask(ctx, r.any(), id, method, path, body, 5*time.Second)
 		return status
 	}
 	r.wg.Go(func() {
--- a/internal/standin/user.go
+++ b/internal/standin/user.go
@@ -12,16 +12,23 @@
 	"sableusher/internal/world"
 )
 
-// call sends one user's request to a node and gives status and state.
-func (r *Region) call(ctx context.Context, method, path string, body []byte, timeout time.Duration) (int, string) {
+// any draws a node.
+func (r *Region) any() *Controller {
 	r.mu.Lock()
-	n := r.nodes[r.rnd.IntN(len(r.nodes))]
-	r.mu.Unlock()
-	return r.callAt(ctx, n, method, path, body, timeout)
+	defer r.mu.Unlock()
+	return r.nodes[r.rnd.IntN(len(r.nodes))]
 }
 
-// callAt sends one user's request to one node and gives status and state.
-func (r *Region) callAt(ctx context.Context, n *Controller, method, path string, body []byte, timeout time.Duration) (int, string) {
+// ask sends a user's question about a job to a node, and lets the oracle know the answer.
+func (r *Region) ask(ctx context.Context, n *Controller, id, method, path string, body []byte, timeout time.Duration) (int, string) {
+	asked := time.Now()
+	status, state := r.call(ctx, n, method, path, body, timeout)
+	r.Oracle.AnswerTo(id, asked, status, state)
+	return status, state
+}
+
+// call sends one user's request to one node and gives status and state.
+func (r *Region) call(ctx context.Context, n *Controller, method, path string, body []byte, timeout time.Duration) (int, string) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	req, _ := http.NewRequestWithContext(ctx, method, "http://"+n.Address+path, bytes.NewReader(body))
@@ -43,9 +50,7 @@
 	body := wire.MustEncode(spec)
 	start := time.Now()
 	submit := func() bool {
-		asked := time.Now()
-		status, state := r.call(ctx, http.MethodPost, "/v1/jobs", body, 5*time.Second)
-		r.Oracle.AnswerTo(spec.ID, asked, status, state)
+		status, _ := r.ask(ctx, r.any(), spec.ID, http.MethodPost, "/v1/jobs", body, 5*time.Second)
 		return status == 200 || status == 201
 	}
 	for !submit() {
@@ -69,9 +74,7 @@
 			again = time.Now().Add(40 * time.Second)
 			submit() // a late retry of an accepted submission
 		}
-		asked := time.Now()
-		status, state := r.call(ctx, http.MethodGet, "/v1/jobs/"+spec.ID, nil, 2*time.Second)
-		r.Oracle.AnswerTo(spec.ID, asked, status, state)
+		_, state := r.ask(ctx, r.any(), spec.ID, http.MethodGet, "/v1/jobs/"+spec.ID, nil, 2*time.Second)
 		if ends := state == wire.JobDone || state == wire.JobCancelled; ends && !over {
 			over = true
 			r.look(ctx, spec.ID, body)
@@ -83,7 +86,7 @@
 func (r *Region) Abort(ctx context.Context, id string) bool {
 	r.Oracle.Cancelling(id)
 	asked := time.Now()
-	status, state := r.call(ctx, http.MethodPost, "/v1/jobs/"+id+"/abort", nil, 5*time.Second)
+	status, state := r.call(ctx, r.any(), http.MethodPost, "/v1/jobs/"+id+"/abort", nil, 5*time.Second)
 	if r.Rash && status == http.StatusServiceUnavailable && r.marked(id) {
 		// A planted defect: what is marked but not certain is told all the same.
 		status, state = http.StatusOK, wire.JobCancelled
@@ -96,8 +99,7 @@
 // marked tells whether a job's record says that it is cancelled.
 func (r *Region) marked(id string) bool {
 	var rec world.JobRecord
-	row := r.State.Snapshot()[world.JobKey(id)]
-	return wire.Decode(row.Value, &rec) == nil && rec.CancelMs != 0
+	return wire.Decode(r.State.Row(world.JobKey(id)).Value, &rec) == nil && rec.CancelMs != 0
 }
 
 // Stranger asks about jobs that nobody submitted.
@@ -105,7 +107,6 @@
 	for i := 0; ctx.Err() == nil; i++ {
 		time.Sleep(7 * time.Second)
 		id := fmt.Sprintf("run-9%05d", i)
-		status, state := r.call(ctx, http.MethodGet, "/v1/jobs/"+id, nil, 2*time.Second)
-		r.Oracle.Answer(id, status, state)
+		r.ask(ctx, r.any(), id, http.MethodGet, "/v1/jobs/"+id, nil, 2*time.Second)
 	}
 }
