--- a/internal/simulation/testregion_test.go
+++ b/internal/simulation/testregion_test.go
@@ -35,6 +35,7 @@
 	streamCPUDay         randomStream = 81
 	streamCPURegion      randomStream = 82
 	streamOneWayDay      randomStream = 91
+	streamFetchDay       randomStream = 92
 )
 
 // requestDrainTime is how long requests may still be on their way when a day is over.
