api, scheduler: no cancellation is confirmed while a start of it may be on its way

Cause: cancellationOf marked and confirmed at once below that version, whatever was bound. A machine that has the start command and fetches the image is told to stop only with the answer to its next heartbeat.

Change: while a task is bound the record gets a request to cancel instead of the mark. Nodes of this version start nothing of such a job and stop what is bound; the mark, or the final record, follows once all is released, by proof. Until then the user gets 503 with Retry-After. Nodes of versions before confirm any mark that they read, and do not see the request. Where one of them owns a shard (record.Node.HonorsCancelRequests is missing in its session) the mark is written and confirmed at once as before, since nothing else stops its tasks. Both new fields are left out where they do not apply; no schema version.

--- a/internal/agent/command.go
+++ b/internal/agent/command.go
@@ -145,7 +145,7 @@
 		}
 		ref, ok := record.ParseTaskRef(task.Task)
 		binding, bound := recorded.Bindings[ref]
-		if ok && bound && binding.Attempt == task.Attempt && binding.Job.Cancelled() && task.State != wire.TaskExited {
+		if ok && bound && binding.Attempt == task.Attempt && binding.Job.Stopping() && task.State != wire.TaskExited {
 			answer.Commands = append(answer.Commands, stopCommand(task, 0))
 		}
 	}
@@ -181,7 +181,7 @@
 // stopRequestFor gives the stop that is wanted of a bound task, if any. Callers hold the cluster state's lock
 // and mu.
 func (r *Registry) stopRequestFor(binding clusterstate.Binding) (stopRequest, bool) {
-	if binding.Job.Cancelled() {
+	if binding.Job.Stopping() {
 		return stopRequest{}, true
 	}
 	request, ok := r.stopRequests[keyOf(binding)]
--- a/internal/api/cancel.go
+++ b/internal/api/cancel.go
@@ -13,17 +13,17 @@
 	"sableusher/internal/wire"
 )
 
-// cancellation is the change that marks a job as cancelled.
+// cancellation is the change that marks a job as cancelled, or that requests it.
 type cancellation struct {
 	transaction kvstore.Transaction
-	// confirmed: the answer to the user needs only that the change is durable.
-	confirmed bool
+	// outcome is what the change comes to once it is durable.
+	outcome markOutcome
 }
 
 // cancelJob cancels a job and gives its final state once that may be confirmed: until no task of it is
 // on a machine the answer is errTasksStopping. A job that is over stays as it is.
 func (s *Server) cancelJob(ctx context.Context, id string) (wire.JobState, error) {
-	for marked := false; ctx.Err() == nil; {
+	for ctx.Err() == nil {
 		status, err := s.jobStatus(ctx, id)
 		if err != nil {
 			return "", err
@@ -31,18 +31,16 @@
 		if status.State.IsFinal() {
 			return status.State, nil
 		}
-		if !marked {
-			outcome, err := s.markCancelled(ctx, id)
-			if errors.Is(err, kvstore.ErrConditionFailed) {
-				continue
-			}
-			if err != nil {
-				return "", errStoreUnavailable
-			}
-			if outcome == cancellationConfirmed {
-				return wire.JobCancelled, nil
-			}
-			marked = outcome == cancellationMarked
+		outcome, err := s.markCancelled(ctx, id)
+		switch {
+		case errors.Is(err, kvstore.ErrConditionFailed):
+			continue
+		case errors.Is(err, errOwnersUnsettled):
+			return "", errOwnersUnsettled
+		case err != nil:
+			return "", errStoreUnavailable
+		case outcome == cancellationConfirmed:
+			return wire.JobCancelled, nil
 		}
 		if !s.waitUntilReleased(ctx, id) {
 			return "", errTasksStopping
@@ -55,60 +53,83 @@
 type markOutcome int
 
 const (
-	nothingToMark         markOutcome = iota // it is not live, or is cancelled or complete already
-	cancellationMarked                       // its tasks are to be released first
+	nothingToMark         markOutcome = iota // it is not live, or is stopping or complete already
+	cancellationRequested                    // its tasks are to be released before it is marked
+	cancellationMarked                       // its tasks are to be released before that is reported
 	cancellationConfirmed                    // it may be confirmed to the user at once
 )
 
 // String names the outcome.
 func (o markOutcome) String() string {
-	return [...]string{"nothing to mark", "marked", "confirmed"}[o]
+	return [...]string{"nothing to mark", "requested", "marked", "confirmed"}[o]
 }
 
-// markCancelled marks a live job as cancelled. kvstore.ErrConditionFailed proves that it was not; any other
-// error leaves that open.
+// markCancelled marks a live job as cancelled, or requests that. kvstore.ErrConditionFailed proves that it was not,
+// as does errOwnersUnsettled; any other error leaves that open.
 func (s *Server) markCancelled(ctx context.Context, id string) (markOutcome, error) {
-	change, ok := s.cancellationOf(id)
-	if !ok {
-		return nothingToMark, nil
+	change, err := s.cancellationOf(id)
+	if err != nil || change.outcome == nothingToMark {
+		return nothingToMark, err
 	}
 	if _, err := s.committer.Commit(ctx, change.transaction); err != nil {
 		return nothingToMark, err
 	}
-	s.logger.Debug("job cancelled", "job_id", id, "confirmed", change.confirmed)
-	if change.confirmed {
-		return cancellationConfirmed, nil
-	}
-	return cancellationMarked, nil
+	s.logger.Debug("job cancelled", "job_id", id, "outcome", change.outcome,
+		"confirmed", change.outcome == cancellationConfirmed)
+	return change.outcome, nil
 }
 
-// cancellationOf gives the change that marks a live job as cancelled; ok is false if there is nothing to
-// mark. The condition on the job's record ensures that no task can be bound by a later transaction that
-// still rests on the record before it.
-//
-// It is confirmed at once if no task was bound before it, or if leases still end in time by themselves,
-// as not all nodes are known to confirm cancellations late: then the schema version is a condition too.
-func (s *Server) cancellationOf(id string) (change cancellation, ok bool) {
+// cancellationOf gives the change that marks a live job as cancelled; its outcome is nothingToMark if there is
+// none. The condition on the job's record ensures that no task can be bound by a later transaction that still rests
+// on the record before it.
+func (s *Server) cancellationOf(id string) (cancellation, error) {
 	s.clusterState.RLock()
 	defer s.clusterState.RUnlock()
 	job := s.clusterState.Jobs[id]
 	if job == nil || !job.HasRecord || job.Cancelled() || job.Complete() {
-		return cancellation{}, false
+		return cancellation{}, nil
+	}
+	if s.clusterState.SchemaVersion < tuning.SchemaVersionConfirmedCancel {
+		return s.cancellationAmongOlderVersions(job)
 	}
 	marked := *job
-	marked.CancelledAtMs = max(time.Now().UnixMilli(), 1)
-	marked.CancelAfterRelease = s.clusterState.SchemaVersion >= tuning.SchemaVersionConfirmedCancel
-	var versionConditions []wire.Condition
-	if marked.CancelAfterRelease {
-		change.confirmed = job.FullyReleased() && job.ChunkCount() == 1 // no task is bound in another record
-	} else {
-		change.confirmed = true
-		versionConditions = []wire.Condition{
-			{Key: record.SchemaVersionKey, ModRevision: s.clusterState.SchemaVersionModRevision},
-		}
+	marked.MarkCancelled(time.Now().UnixMilli(), true)
+	outcome := cancellationMarked
+	if job.FullyReleased() && job.ChunkCount() == 1 { // no task is bound in another record
+		outcome = cancellationConfirmed
+	}
+	return cancellation{s.encodeMarked(job, &marked, nil), outcome}, nil
+}
+
+// cancellationAmongOlderVersions gives the change while some node may be of a version that reports a mark as soon
+// as it reads it: until then a start that was sent may still be on its way, or its machine fetch the image. So the
+// mark is written only once no task is bound; before that the change requests it, which older versions do not see.
+// Where an owner ignores such requests nothing but the mark makes it stop the tasks: it is written and confirmed at
+// once, as that owner would, and leases end in time by themselves. That the schema version still is the one decided
+// on is a condition. Callers hold the lock of the cluster state.
+func (s *Server) cancellationAmongOlderVersions(job *clusterstate.Job) (cancellation, error) {
+	support, conditions := s.clusterState.CancelRequestSupport()
+	released := job.FullyReleased() &&
+		(job.ChunkCount() == 1 || job.CancelRequested() && s.barrier.Revision() >= job.ModRevision)
+	marked, outcome, now := *job, cancellationConfirmed, time.Now().UnixMilli()
+	switch {
+	case support == clusterstate.CancelRequestsIgnored:
+		conditions = nil
+		marked.MarkCancelled(now, false)
+	case released:
+		marked.MarkCancelled(now, false)
+	case job.CancelRequested():
+		return cancellation{}, nil
+	case support == clusterstate.CancelRequestsUnsettled:
+		return cancellation{}, errOwnersUnsettled
+	default:
+		marked.RequestCancel(now)
+		outcome = cancellationRequested
+	}
+	versionUnchanged := wire.Condition{
+		Key: record.SchemaVersionKey, ModRevision: s.clusterState.SchemaVersionModRevision,
 	}
-	change.transaction = s.encodeMarked(job, &marked, versionConditions)
-	return change, true
+	return cancellation{s.encodeMarked(job, &marked, append(conditions, versionUnchanged)), outcome}, nil
 }
 
 // encodeMarked gives the transaction that writes the marked record of a job, under further conditions. A
@@ -134,7 +155,7 @@
 	}
 }
 
-// waitUntilReleased waits until no task of a cancelled job is bound, as far as this cluster state goes, for
+// waitUntilReleased waits until no task of a stopping job is bound, as far as this cluster state goes, for
 // as long as a cancellation may take; it returns false if that takes longer. Only a bounded number
 // of requests waits at once: many jobs on machines that can't be reached must not keep submissions out.
 func (s *Server) waitUntilReleased(ctx context.Context, id string) bool {
@@ -158,10 +179,10 @@
 	return true
 }
 
-// isReleased reports whether no task of a cancelled job is bound.
+// isReleased reports whether no task of a stopping job is bound.
 func (s *Server) isReleased(id string) bool {
 	s.clusterState.RLock()
 	defer s.clusterState.RUnlock()
 	job := s.clusterState.Jobs[id]
-	return job == nil || !job.HasRecord || !job.Cancelled() || job.FullyReleased()
+	return job == nil || !job.HasRecord || !job.Stopping() || job.FullyReleased()
 }
--- a/internal/api/errors.go
+++ b/internal/api/errors.go
@@ -55,6 +55,7 @@
 	errMachineTypesUnknown  = &unavailableError{Reason: "machine types not known yet"}
 	errDependenciesInactive = &unavailableError{Reason: "not all nodes know of awaited jobs yet"}
 	errRetryLimitsInactive  = &unavailableError{Reason: "not all nodes count repeats yet"}
+	errOwnersUnsettled      = &unavailableError{Reason: "work is changing hands between nodes"}
 	errTasksStopping        = &unavailableError{Reason: "its tasks are being stopped"}
 )
 
--- a/internal/clusterstate/chunks.go
+++ b/internal/clusterstate/chunks.go
@@ -26,7 +26,8 @@
 	id := stored.Spec.ID
 	s.changes.markJob(id)
 	job := s.jobEntry(id)
-	if stored.CancelledAtMs != job.CancelledAtMs || stored.PreemptedAttempt != job.PreemptedAttempt {
+	if stored.CancelledAtMs != job.CancelledAtMs || stored.CancelRequestedAtMs != job.CancelRequestedAtMs ||
+		stored.PreemptedAttempt != job.PreemptedAttempt {
 		s.markMachinesOf(job)
 	}
 	isNew := !job.HasRecord
--- a/internal/clusterstate/jobs.go
+++ b/internal/clusterstate/jobs.go
@@ -54,6 +54,21 @@
 // Cancelled reports whether the job was cancelled.
 func (j *Job) Cancelled() bool { return j.CancelledAtMs != 0 }
 
+// CancelRequested reports whether the job is to be cancelled once no task of it is bound, and is not yet.
+func (j *Job) CancelRequested() bool { return j.CancelRequestedAtMs != 0 && !j.Cancelled() }
+
+// Stopping reports whether nothing of the job may start any more and what is bound is to stop: it was cancelled, or
+// that was requested.
+func (j *Job) Stopping() bool { return j.Cancelled() || j.CancelRequested() }
+
+// StoppingSince is when a stopping job was cancelled, or when that was requested.
+func (j *Job) StoppingSince() time.Time {
+	if j.Cancelled() {
+		return time.UnixMilli(j.CancelledAtMs)
+	}
+	return time.UnixMilli(j.CancelRequestedAtMs)
+}
+
 // Complete reports whether all tasks of the job are done. That decides what became of the job whatever else its
 // records say: the last task of a job with several records ends in a change that does not collide with a
 // cancellation at that moment, and users may have been told of the end by then.
@@ -71,7 +86,7 @@
 // not: another cell may start it.
 func (j *Job) CanStart() bool {
 	recalled := j.OffloadedFrom != nil && j.OffloadedFrom.Recalled
-	return j.HasRecord && !j.Cancelled() && !j.HasUnmetDependencies() && j.OffloadedTo == nil && !recalled
+	return j.HasRecord && !j.Stopping() && !j.HasUnmetDependencies() && j.OffloadedTo == nil && !recalled
 }
 
 // FullyReleased reports whether no task of the job is on a machine of this cell, and none can be in another.
--- a/internal/golden/fill_test.go
+++ b/internal/golden/fill_test.go
@@ -22,6 +22,21 @@
 	return []message{{name + "/empty", empty}, {name + "/every-field", full}}
 }
 
+// filledSinceVersion gives the same of a type that a field was added to, at its end: every-field stays the line that
+// was recorded before, and a further message has the added field too.
+func filledSinceVersion[T any](t *testing.T, name, added string, clearAdded func(*T)) []message {
+	t.Helper()
+	messages := filled[T](t, name)
+	full := messages[1].value
+	before, ok := full.(T)
+	if !ok {
+		t.Fatalf("%s: a message of type %T", name, full)
+	}
+	clearAdded(&before)
+	messages[1].value = before
+	return append(messages, message{name + "/every-field-with-" + added, full})
+}
+
 // fill sets v and all that it consists of. Lists get two entries; maps get one, as their order is not fixed.
 func (f *filler) fill(t *testing.T, name string, v reflect.Value) {
 	t.Helper()
--- a/internal/golden/records_test.go
+++ b/internal/golden/records_test.go
@@ -110,7 +110,7 @@
 // TestRecords: the durable records keep their bytes.
 func TestRecords(t *testing.T) {
 	checkCBOR(t, "records.txt", slices.Concat(jobRecords(),
-		filled[record.Job](t, "job"),
+		filledSinceVersion(t, "job", "cancel-request", func(j *record.Job) { j.CancelRequestedAtMs = 0 }),
 		filled[record.Transfer](t, "transfer"),
 		filled[record.Cell](t, "cell"),
 		filled[record.GuestOutcome](t, "ended-guest"),
@@ -119,7 +119,7 @@
 		filled[record.SchemaVersion](t, "schema-version"),
 		filled[record.Machine](t, "machine"),
 		filled[record.Shard](t, "shard"),
-		filled[record.Node](t, "node"),
+		filledSinceVersion(t, "node", "cancel-request", func(n *record.Node) { n.HonorsCancelRequests = false }),
 		filled[record.Quota](t, "quota"),
 		filled[record.Rental](t, "rental"),
 		filled[record.Final](t, "final"),
@@ -135,6 +135,9 @@
 				Type: "g8", Zone: "east", Address: "10.0.0.1:80", CreatedAtMs: submittedMs, Up: true,
 			}},
 			{"node/version-before", record.Node{Incarnation: 77}},
+			{"job/cancel-request", record.Job{
+				Spec: arraySpec(5), SubmittedAtMs: submittedMs, CancelRequestedAtMs: laterMs,
+			}},
 			{"shard/given", record.Shard{Owner: "n0", OwnerIncarnation: 7, FencingToken: 12, HandedOff: true}},
 		},
 	))
--- a/internal/membership/session.go
+++ b/internal/membership/session.go
@@ -30,8 +30,10 @@
 
 func newSession(config Config) *session {
 	return &session{
-		nodeName:     config.NodeName,
-		record:       record.Node{Incarnation: config.Incarnation, SchemaVersion: config.SchemaVersion},
+		nodeName: config.NodeName,
+		record: record.Node{
+			Incarnation: config.Incarnation, SchemaVersion: config.SchemaVersion, HonorsCancelRequests: true,
+		},
 		client:       config.Client,
 		committer:    config.Committer,
 		cache:        config.Cache,
--- a/internal/offload/digest.go
+++ b/internal/offload/digest.go
@@ -128,7 +128,7 @@
 func (o *Offloader) expectedWaitSeconds(rank int) float64 {
 	waitingSeconds, runningTasks := 0.0, 0.0
 	for _, job := range o.clusterState.Jobs {
-		if !job.HasRecord || job.Cancelled() || job.OffloadedTo != nil {
+		if !job.HasRecord || job.Stopping() || job.OffloadedTo != nil {
 			continue
 		}
 		if job.Spec.Priority.Rank() > rank || job.Spec.Kind == wire.KindService {
--- a/internal/offload/requests.go
+++ b/internal/offload/requests.go
@@ -137,7 +137,7 @@
 
 // cancelNow records that home's user has cancelled a job.
 func cancelNow(stored *record.Job) {
-	stored.CancelledAtMs, stored.CancelAfterRelease = max(time.Now().UnixMilli(), 1), true
+	stored.MarkCancelled(time.Now().UnixMilli(), true)
 }
 
 // recall records that home wants a job back. The transfer is copied, as the cluster state keeps the former one.
--- a/internal/record/job.go
+++ b/internal/record/job.go
@@ -33,8 +33,24 @@
 	OffloadedTo   *Transfer `cbor:"a,omitempty"`
 	OffloadedAtMs int64     `cbor:"am,omitempty"`
 	OffloadedFrom *Transfer `cbor:"h,omitempty"`
+
+	// CancelRequestedAtMs: before schema version 2 its user asked to cancel it while a task could be bound; 0: no
+	// such request. Nothing of the job starts any more and what is bound is stopped, but no node may call it
+	// cancelled before all of that is released. Nodes that do not honor it (Node.HonorsCancelRequests) drop it when
+	// they rewrite the record; the user, to whom nothing was confirmed, asks again.
+	CancelRequestedAtMs int64 `cbor:"r,omitempty"`
+}
+
+// MarkCancelled marks the job as cancelled at a time, which replaces a request to cancel it. afterRelease: no node may
+// report the cancellation before no task is bound.
+func (j *Job) MarkCancelled(atMs int64, afterRelease bool) {
+	j.CancelledAtMs, j.CancelAfterRelease = max(atMs, 1), afterRelease
+	j.CancelRequestedAtMs = 0
 }
 
+// RequestCancel notes that the job is to be cancelled once no task of it is bound.
+func (j *Job) RequestCancel(atMs int64) { j.CancelRequestedAtMs = max(atMs, 1) }
+
 // Transfer is a job's passage between two cells, as either of them keeps it in the job's record.
 type Transfer struct {
 	Cell     string `cbor:"c"` // the other cell
--- a/internal/record/membership.go
+++ b/internal/record/membership.go
@@ -31,6 +31,9 @@
 	Incarnation uint64 `cbor:"i"`
 	// SchemaVersion is the newest one that the node's process reads.
 	SchemaVersion int `cbor:"l,omitempty"`
+	// HonorsCancelRequests: the node's process starts nothing of a job with Job.CancelRequestedAtMs and stops what
+	// it has bound of it, whatever schema version is active.
+	HonorsCancelRequests bool `cbor:"x,omitempty"`
 }
 
 // SchemaVersion is the newest form in which records may be written. It is only raised, and only once every
--- a/internal/record/size.go
+++ b/internal/record/size.go
@@ -56,11 +56,10 @@
 // EncodedBaseSize is the most that a job's own record takes without tasks.
 func EncodedBaseSize(job Job) int {
 	// Fields that are still empty may be set later.
-	job.CancelledAtMs = max(job.SubmittedAtMs, 1)
+	job.MarkCancelled(job.SubmittedAtMs, true)
 	job.PreemptedAttempt = tuning.MaxTasksPerJob
 	job.ChunkWidth, job.FirstFixedChunk = tuning.FixedChunkTasks, tuning.MaxTasksPerJob
 	job.Tasks, job.Groups, job.Failures = nil, nil, nil
-	job.CancelAfterRelease = true
 	if job.Spec.MaxRetries != nil {
 		job.Failed, job.Failures = true, []int{0, 1}
 	}
--- /dev/null
+++ b/internal/scheduler/cancelrequests_test.go
@@ -0,0 +1,134 @@
+package scheduler
+
+import (
+	"testing"
+
+	"sableusher/internal/clusterstate"
+	"sableusher/internal/record"
+	"sableusher/internal/tuning"
+	"sableusher/internal/wire"
+)
+
+// honorCancelRequests gives the sessions of all nodes as processes have them that honor such requests, or not.
+func (f *testCluster) honorCancelRequests(honor bool) {
+	for name, node := range f.cluster.Nodes {
+		node.HonorsCancelRequests = honor
+		f.cluster.Nodes[name] = node
+	}
+}
+
+// requestCancel writes a job that is to be cancelled, at revision 0: the state holds all up to it.
+func (f *testCluster) requestCancel(spec wire.JobSpec, tasks ...record.Task) {
+	spec.Team, spec.Class = "t", "c"
+	job := record.Job{Spec: spec, SubmittedAtMs: testNow.UnixMilli(), Tasks: tasks}
+	job.RequestCancel(testNow.UnixMilli())
+	f.cluster.BeginUpdate()
+	f.cluster.Put(record.JobKey(spec.ID), wire.MustEncode(job), 0)
+	f.cluster.EndUpdate()
+}
+
+// TestRequestedCancellationStartsNothing: of a job that is to be cancelled nothing is bound, though there is room;
+// without the request there is.
+func TestRequestedCancellationStartsNothing(t *testing.T) {
+	for _, requested := range []bool{false, true} {
+		fixture := newTestCluster(t)
+		for i := range 6 {
+			fixture.addMachine(i, false)
+		}
+		fixture.honorCancelRequests(true)
+		if spec := arraySpec(1, 3); requested {
+			fixture.requestCancel(spec)
+		} else {
+			fixture.addJob(spec)
+		}
+		bound := 0
+		for node := range testShards {
+			_, bindings := fixture.runCycle(node)
+			bound += len(bindings)
+		}
+		if requested == (bound > 0) {
+			t.Errorf("requested %v: %d tasks bound", requested, bound)
+		}
+	}
+}
+
+// TestRequestedCancellationEndsWithLastTask: the change that releases the last task of a job that is to be cancelled
+// turns its record into the final one.
+func TestRequestedCancellationEndsWithLastTask(t *testing.T) {
+	fixture := newTestCluster(t)
+	machine := fixture.addMachine(1, false)
+	spec := arraySpec(1, 2)
+	fixture.requestCancel(spec, boundTask(0, machine))
+	owner := record.ShardOf(machine, testShards)
+	c := fixture.inCycle(owner, func(c *cycle) {
+		binding := c.cluster.Machines[machine].Bindings[record.TaskRef{JobID: spec.ID}]
+		c.releaseTask(binding, machine, record.TaskPending, "exited")
+		c.buildChanges()
+	})
+	finals := finalRecords(t, c, spec.ID)
+	if len(finals) != 1 || finals[0].Status != wire.JobCancelled {
+		t.Errorf("ends as %+v", finals)
+	}
+}
+
+// TestLeaderEndsRequestedCancellation: the leader ends a job of several records that is to be cancelled once nothing
+// of it is bound, under the condition that no shard has changed hands; not while an owner might bind a task of it.
+func TestLeaderEndsRequestedCancellation(t *testing.T) {
+	for _, honored := range []bool{true, false} {
+		fixture := newTestCluster(t)
+		fixture.honorCancelRequests(honored)
+		spec := arraySpec(1, tuning.FixedChunkTasks+3)
+		fixture.requestCancel(spec)
+		c := fixture.inCycle(0, (*cycle).finishJobs)
+		finals := finalRecords(t, c, spec.ID)
+		if !honored {
+			if len(finals) != 0 {
+				t.Errorf("an owner ignores the request: ends as %+v", finals)
+			}
+			continue
+		}
+		if len(finals) != 1 || finals[0].Status != wire.JobCancelled {
+			t.Fatalf("ends as %+v", finals)
+		}
+		_, ownersUnchanged := c.cluster.CancelRequestSupport()
+		if conditions := c.outgoing[0].transaction.Conditions; len(conditions) != 1+len(ownersUnchanged) {
+			t.Errorf("conditions %+v", conditions)
+		}
+	}
+}
+
+// TestRequestedCancellationBecomesOverdue: a machine with a task whose release was asked for longer ago than a
+// cancellation may take is given up.
+func TestRequestedCancellationBecomesOverdue(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		fixture := newTestCluster(t)
+		machine := fixture.addMachine(1, false)
+		fixture.requestCancel(arraySpec(1, 1), boundTask(0, machine))
+		fixture.inCycle(record.ShardOf(machine, testShards), func(c *cycle) {
+			if late {
+				c.now = c.now.Add(c.settings.CancelDeadline() + 1)
+			}
+			if overdue := c.cancellationOverdue(c.cluster.Machines[machine]); overdue != late {
+				t.Errorf("late %v: overdue %v", late, overdue)
+			}
+		})
+	}
+}
+
+// TestCancelRequestSupport: requests are of use only if every shard's owner honors them.
+func TestCancelRequestSupport(t *testing.T) {
+	fixture := newTestCluster(t)
+	expect := func(want clusterstate.CancelRequestSupport) {
+		t.Helper()
+		if support, _ := fixture.cluster.CancelRequestSupport(); support != want {
+			t.Errorf("%v, want %v", support, want)
+		}
+	}
+	expect(clusterstate.CancelRequestsIgnored)
+	fixture.honorCancelRequests(true)
+	expect(clusterstate.CancelRequestsHonored)
+	delete(fixture.cluster.Nodes, "node-2")
+	expect(clusterstate.CancelRequestsUnsettled)
+	delete(fixture.cluster.Shards, 4)
+	expect(clusterstate.CancelRequestsIgnored)
+}
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -77,7 +77,7 @@
 	for _, job := range jobs {
 		need := record.TaskResources(&job.Spec)
 		switch {
-		case !job.HasRecord || job.Cancelled() || need.GPUs == 0:
+		case !job.HasRecord || job.Stopping() || need.GPUs == 0:
 		case job.Spec.Kind == wire.KindArray:
 			arrays = arrays.Plus(need)
 		default:
--- a/internal/scheduler/dependents.go
+++ b/internal/scheduler/dependents.go
@@ -76,7 +76,7 @@
 	}
 	for dependent := range dependents {
 		job := c.cluster.Jobs[dependent]
-		if job == nil || !job.HasRecord || job.Cancelled() || job.DependencyCancelled {
+		if job == nil || !job.HasRecord || job.Stopping() || job.DependencyCancelled {
 			continue
 		}
 		further := c.needsOfDependents(dependent)
--- a/internal/scheduler/failedmachines.go
+++ b/internal/scheduler/failedmachines.go
@@ -107,11 +107,11 @@
 // confirmed at once it must go in time, where they are confirmed with their proof, before the user gives up asking.
 func (c *cycle) cancellationOverdue(machine *clusterstate.Machine) bool {
 	for _, binding := range machine.Bindings {
-		limit := c.settings.CancelDeadline()
-		if !binding.Job.CancelAfterRelease {
+		job, limit := binding.Job, c.settings.CancelDeadline()
+		if job.Cancelled() && !job.CancelAfterRelease {
 			limit = time.Duration(tuning.CancelDeletionShare * float64(limit))
 		}
-		if binding.Job.Cancelled() && c.now.Sub(time.UnixMilli(binding.Job.CancelledAtMs)) > limit {
+		if job.Stopping() && c.now.Sub(job.StoppingSince()) > limit {
 			return true
 		}
 	}
--- a/internal/scheduler/gangattempt.go
+++ b/internal/scheduler/gangattempt.go
@@ -77,7 +77,7 @@
 // isPartlyDone reports whether some tasks of a gang are done, and none is on a machine any more.
 func isPartlyDone(job *clusterstate.Job) bool {
 	return job.Spec.Kind == wire.KindGang && job.DoneCount > 0 && job.BoundCount == 0 && job.HasRecord &&
-		!job.Complete() && !job.Cancelled()
+		!job.Complete() && !job.Stopping()
 }
 
 // completeGang ends the tasks of a gang that is partly done. A gang completes together, so all of its tasks are done:
--- a/internal/scheduler/jobend.go
+++ b/internal/scheduler/jobend.go
@@ -22,32 +22,35 @@
 			c.completeGang(job)
 			continue
 		}
-		if ops := c.finishOps(job); len(ops) > 0 {
-			condition := wire.Condition{Key: key}
-			if job.HasRecord {
-				condition.ModRevision = job.ModRevision
-			}
+		if transaction := c.finishTransaction(job, key); len(transaction.Ops) > 0 {
 			c.outgoing = append(c.outgoing, &recordChange{
-				kind: changeOfJobEnd, subject: id, keys: []string{key},
-				transaction: kvstore.Transaction{Conditions: []wire.Condition{condition}, Ops: ops},
+				kind: changeOfJobEnd, subject: id, keys: []string{key}, transaction: transaction,
 			})
 		}
 	}
 }
 
-// finishOps returns the ops that end a job, or that delete chunks that it has left; none if there is nothing to do.
-func (c *cycle) finishOps(job *clusterstate.Job) []wire.Op {
+// finishTransaction ends the job with a key, or deletes chunks that it has left; it has no ops if there is nothing
+// to do.
+func (c *cycle) finishTransaction(job *clusterstate.Job, key string) kvstore.Transaction {
+	if !job.HasRecord {
+		return kvstore.Transaction{Conditions: []wire.Condition{{Key: key}}, Ops: c.deleteFurtherOps(job, 0)}
+	}
+	conditions := []wire.Condition{{Key: key, ModRevision: job.ModRevision}}
 	switch {
-	case !job.HasRecord:
-		return c.deleteFurtherOps(job, 0)
 	case job.Complete():
-		return c.finalOps(job, wire.JobDone, job.DoneCount)
-	// No task can be bound after the cancellation, and the cluster state holds all before it.
-	case job.Cancelled() && job.FullyReleased() && c.membership.HasReached(job.ModRevision):
-		return c.finalOps(job, job.CancelledStatus(), job.DoneCount)
-	default:
-		return nil
+		return kvstore.Transaction{Conditions: conditions, Ops: c.finalOps(job, wire.JobDone, job.DoneCount)}
+	case !job.Stopping() || !job.FullyReleased() || !c.membership.HasReached(job.ModRevision):
+		return kvstore.Transaction{}
+	case !job.Cancelled():
+		support, ownersUnchanged := c.cluster.CancelRequestSupport()
+		if support != clusterstate.CancelRequestsHonored {
+			return kvstore.Transaction{} // an owner may still bind a task
+		}
+		conditions = append(conditions, ownersUnchanged...)
 	}
+	// No task can be bound after the cancellation, and the cluster state holds all before it.
+	return kvstore.Transaction{Conditions: conditions, Ops: c.finalOps(job, job.CancelledStatus(), job.DoneCount)}
 }
 
 // finalOps returns the ops that turn a job's records into its final one. Of a job taken over from another cell they
--- a/internal/scheduler/preemption.go
+++ b/internal/scheduler/preemption.go
@@ -95,7 +95,7 @@
 	var victims []preemption.Victim
 	for _, binding := range machine.Machine.Bindings {
 		job := binding.Job
-		if !preemptor.MayPreempt(c.runningJob(job)) || job.Cancelled() || !record.TaskPreemptible(&job.Spec) ||
+		if !preemptor.MayPreempt(c.runningJob(job)) || job.Stopping() || !record.TaskPreemptible(&job.Spec) ||
 			c.agents.StopRequested(binding) {
 			continue
 		}
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -82,7 +82,7 @@
 	task := reconcile.BoundTask{
 		TaskObservation:  c.agents.ObserveTask(binding, machine.Name, token),
 		JobKind:          spec.Kind,
-		JobCancelled:     binding.Job.Cancelled(),
+		JobCancelled:     binding.Job.Stopping(),
 		StopRequested:    c.agents.StopRequested(binding),
 		RetriesLimited:   spec.MaxRetries != nil,
 		RetriesExhausted: retry.Exhausted(spec.MaxRetries, failures),
--- a/internal/scheduler/taskchange.go
+++ b/internal/scheduler/taskchange.go
@@ -80,7 +80,8 @@
 // for such jobs holds: nothing starts any more, what runs is stopped, its dependents are cancelled.
 func (c *cycle) markedFailed(job *clusterstate.Job) *clusterstate.Job {
 	failed := *job
-	failed.CancelledAtMs, failed.CancelAfterRelease, failed.Failed = max(c.now.UnixMilli(), 1), true, true
+	failed.MarkCancelled(c.now.UnixMilli(), true)
+	failed.Failed = true
 	return &failed
 }
 
@@ -125,7 +126,7 @@
 	switch {
 	case inOneRecord && change.doneCount == job.Spec.TaskCount:
 		change.transaction.Ops = c.finalOps(job, wire.JobDone, change.doneCount)
-	case inOneRecord && job.Cancelled() && change.boundCount == 0:
+	case inOneRecord && job.Stopping() && change.boundCount == 0:
 		change.transaction.Ops = c.finalOps(job, job.CancelledStatus(), change.doneCount)
 	case !change.writesOwn && (failsJob || choosesZone):
 		change.write(job.EncodeChunk(0, nil))
