scheduler: the debug log says what the judgement of a zone rests on

Whether a controller had nothing to see of a zone's loss, saw it too late, or saw it and did not log it could not be told from log or metrics. The line 'zone heartbeats counted' has the machines that should be heard and those that are, the least number that tells something, and the state, whenever one of them changes.

--- a/internal/failuredetector/detector.go
+++ b/internal/failuredetector/detector.go
@@ -38,6 +38,8 @@
 	ProbeMachines  []string       // to be probed by direct commands
 	AskPeersAbout  []string       // to be asked about with the peers; the answer goes to RecordPeerAnswers
 	ShardTransfers map[int]string // shards whose agents report to another node, and that node
+	// ZoneHeartbeats is what the states of the zones rest on.
+	ZoneHeartbeats map[string]zonehealth.HeartbeatCount
 	ZoneChanges    []zonehealth.Transition
 	// ZoneReturns says of each zone that serves again what became of the machines that stood in it.
 	ZoneReturns map[string]zonehealth.ReturnSummary
@@ -60,7 +62,9 @@
 	now time.Time, machines []Machine, tasksOn func(*Machine) []evacuation.Task,
 ) Assessment {
 	var assessment Assessment
-	heartbeats, transitions := d.updateZones(now, machines)
+	heartbeats, byZone := d.countHeartbeats(now, machines)
+	assessment.ZoneHeartbeats = byZone
+	transitions := d.updateZones(now, byZone)
 	assessment.ZoneChanges = transitions
 	assessment.ZoneReturns = d.rosters.update(transitions, machines)
 
--- a/internal/failuredetector/zones.go
+++ b/internal/failuredetector/zones.go
@@ -21,13 +21,12 @@
 // UnavailableZones gives the zones that are cut off or lost.
 func (d *Detector) UnavailableZones() []string { return d.zones.UnavailableZones() }
 
-// updateZones counts, in all and by zone, the machines that should be heard and those that are, and brings the
-// zones' states up to date. Machines that this node took over a moment ago could not be heard yet and do not
-// count.
-func (d *Detector) updateZones(
+// countHeartbeats counts, in all and by zone, the machines that should be heard and those that are. Machines that
+// this node took over a moment ago could not be heard yet and do not count.
+func (d *Detector) countHeartbeats(
 	now time.Time, machines []Machine,
-) (all zonehealth.HeartbeatCount, transitions []zonehealth.Transition) {
-	byZone := map[string]zonehealth.HeartbeatCount{}
+) (all zonehealth.HeartbeatCount, byZone map[string]zonehealth.HeartbeatCount) {
+	byZone = map[string]zonehealth.HeartbeatCount{}
 	ownedLately := scaleDuration(d.Timing.HeartbeatInterval, tuning.PartitionMinOwnedIntervals)
 	for i := range machines {
 		machine := &machines[i]
@@ -44,10 +43,17 @@
 		count.ControllerInZone = machine.ControllerInZone
 		byZone[machine.Zone] = count
 	}
+	return all, byZone
+}
+
+// updateZones brings the zones' states up to date with what was heard of them.
+func (d *Detector) updateZones(
+	now time.Time, byZone map[string]zonehealth.HeartbeatCount,
+) []zonehealth.Transition {
 	d.zones.Timing = zonehealth.Timing{
 		LeaseDuration: d.Timing.LeaseDuration, ReconnectTime: d.Timing.deadAfter() + tuning.AgentFailoverTime,
 	}
-	return all, d.zones.Observe(now, byZone)
+	return d.zones.Observe(now, byZone)
 }
 
 // zoneRosters has the machines that stood in a zone when it was cut off, for each zone that does not serve again
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -75,6 +75,8 @@
 	learning      learning
 	waitLog       waitLog
 
+	zoneHeartbeats zoneHeartbeatLog
+
 	changeFeed     *clusterstate.ChangeFeed
 	inventoryCache inventoryCache
 	lastSweep      time.Time
@@ -109,6 +111,7 @@
 		demand:         newDemandState(),
 		learning:       newLearning(c.Operator, c.Membership.Incarnation, c.Logger),
 		waitLog:        waitLog{},
+		zoneHeartbeats: zoneHeartbeatLog{},
 		changeFeed:     c.ClusterState.FollowChanges(),
 		inventoryCache: inventoryCache{toRefresh: machineSet{}},
 	}
--- a/internal/scheduler/zones.go
+++ b/internal/scheduler/zones.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"log/slog"
 	"slices"
 	"time"
 
@@ -27,6 +28,21 @@
 	return e.failureDetector.UnavailableZones()
 }
 
+// zoneHeartbeatLog holds what was last logged of the heartbeats of each zone.
+type zoneHeartbeatLog map[string]zonehealth.HeartbeatCount
+
+// report logs what the states of the zones rest on, for each zone of which that has changed.
+func (l zoneHeartbeatLog) report(log *slog.Logger, assessment *failuredetector.Assessment, zones *zonehealth.Tracker) {
+	for zone, count := range assessment.ZoneHeartbeats {
+		if last, logged := l[zone]; logged && last == count {
+			continue
+		}
+		l[zone] = count
+		log.Debug("zone heartbeats counted", "zone", zone, "expected", count.Expected, "received", count.Received,
+			"judged_from", tuning.PartitionMinMachines, "state", zones.State(zone))
+	}
+}
+
 // reportZones logs and counts what has changed of the zones' states.
 func (c *cycle) reportZones(assessment *failuredetector.Assessment) {
 	for _, change := range assessment.ZoneChanges {
@@ -40,6 +56,7 @@
 			zoneStateGauge.WithLabelValues(change.Zone, state.String()).Set(value)
 		}
 	}
+	c.zoneHeartbeats.report(c.log, assessment, c.failureDetector.Zones())
 	for zone, summary := range assessment.ZoneReturns {
 		c.log.Info("zone is back", "zone", zone, "continued", summary.Continued, "restarted", summary.Restarted,
 			"deleted", summary.Deleted, "added", summary.Added)
