simulation: a zone's loss counts as seen by whichever process saw it

Cause, from the new log line: the first controller expected 13 machines of the zone, heard 2, and logged it as cut 2 s after the cut. The others had 3 machines of it each, fewer than tuning.PartitionMinMachines, and nothing to judge by. The product was right.

Change: the check was wrong and is replaced by a stricter one.

--- a/internal/simulation/logrecorder_test.go
+++ b/internal/simulation/logrecorder_test.go
@@ -13,6 +13,7 @@
 const (
 	messageSessionOpen       = "session open"
 	messageZoneChanged       = "zone state changed"
+	messageZoneCounted       = "zone heartbeats counted"
 	messageMachineDeleted    = "deleting a machine"
 	messageMachineMarkedDown = "machine marked as down"
 	messageChangeApplied     = "change applied"
@@ -25,6 +26,8 @@
 	keyIncarnation = "incarnation"
 	keyZone        = "zone"
 	keyState       = "state"
+	keyExpected    = "expected"
+	keyReceived    = "received"
 	keyMachine     = "machine"
 	keyReason      = "reason"
 	keyChange      = "change"
--- a/internal/simulation/zoneoutage_test.go
+++ b/internal/simulation/zoneoutage_test.go
@@ -186,7 +186,7 @@
 		machineTypes:    largeMachinesOnly,
 		capacityPerKind: 30,
 		random:          newRandom(zoneDaySeed, streamRegion),
-		log:             logged.logger(slog.LevelInfo),
+		log:             logged.logger(slog.LevelDebug),
 	}.startControllers(ctx, threeControllers)
 	r.submitZoneDayJobs(ctx, newRandom(zoneDaySeed, streamDay))
 	time.Sleep(75 * time.Second)
@@ -203,15 +203,25 @@
 	checkZoneDay(t, r, logged.records)
 }
 
-// checkZoneDay checks a day that is over: no rule broken, every job ended, every zone that a controller
-// saw go serves again.
+// checkZoneDay checks a day that is over: no rule broken, every job ended, a zone was seen to go, by every controller
+// that had enough machines of it to tell, and every zone that a controller saw go serves again.
+//
+// Once no controller seemed to see the zone go on a day on which a controller restarts. The log has it: of the zone
+// the first controller counted "expected" 13 and 2 "received" and logged that it is cut, 2 s after the cut; the
+// second and the third had 3 machines of it each, fewer than tuning.PartitionMinMachines, and no state to change.
+// The first one was then restarted by the day, and what a controller's earlier process had logged was not counted.
+// It counts now for whether the zone was seen to go; its last state is still asked of the last process alone.
 func checkZoneDay(t *testing.T, r *Region, records []logRecord) {
 	t.Helper()
 	checkDay(t, r)
-	observed := zoneStates(records)
-	if len(observed) == 0 {
-		t.Error("no controller saw a zone go")
+	judgement := judgeZoneStates(records)
+	if judgement.losses == 0 {
+		t.Errorf("no controller saw a zone go; most machines of a zone counted: %v", judgement.mostExpected)
+	}
+	for _, fault := range judgement.faults {
+		t.Error(fault)
 	}
+	observed := zoneStates(records)
 	for observer, states := range observed {
 		if last := states[len(states)-1]; last != zonehealth.Serving.String() {
 			t.Errorf("%+v ends as %s: %v", observer, last, states)
--- a/internal/simulation/zonepower_test.go
+++ b/internal/simulation/zonepower_test.go
@@ -65,7 +65,7 @@
 		machineTypes:    largeMachinesOnly,
 		capacityPerKind: d.machines / 2,
 		random:          newRandom(d.random.Uint64(), streamRegion),
-		log:             logged.logger(slog.LevelInfo),
+		log:             logged.logger(slog.LevelDebug),
 	}.startControllers(ctx, threeControllers)
 	d.submitJobs(ctx)
 	time.Sleep(replicaStartTime + d.delay)
