failuredetector: agents without answers do not take their shard along

Cause: an agent without answers goes on to the next controller. So for seconds another controller has heard most of the shard's agents and the owner has not, and the shard is transferred, every 5 s in turn. No owner has it for the 6 s of failed commands after which a machine is recorded as down.

Change: a node transfers a shard only once it has had it for as long as its agents take to come round and a command to each to fail (tuning.ShardTransferMinOwned, 24 s), and machines that are recorded as down do not count. A node that loses the way to its agents still gives the shard away at once, as it has had it for longer. A record that turns down with a new session is logged as 'machine marked as down' too.

--- a/internal/failuredetector/detector.go
+++ b/internal/failuredetector/detector.go
@@ -72,7 +72,7 @@
 	uncertain := uncertainMachines(suspected, assessment.ProbeMachines)
 	d.peers.forgetOld(now, uncertain)
 	assessment.AskPeersAbout = d.peers.machinesToAskAbout(now, uncertain)
-	assessment.ShardTransfers = d.peers.shardTransfers(machines)
+	assessment.ShardTransfers = d.peers.shardTransfers(now, machines)
 
 	d.pace.forgetOld(now)
 	up := countUp(machines)
--- a/internal/failuredetector/detector_test.go
+++ b/internal/failuredetector/detector_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"sableusher/internal/tuning"
 )
 
 // TestDeadMachinesAreDeletedSoon: machines that die here and there are replaced within seconds, however many
@@ -123,3 +125,37 @@
 		}
 	}
 }
+
+// TestShardIsTransferredOnceItsAgentsAreKnown: a shard of which another node hears most machines goes to that node,
+// but not before this one has had it for long enough to learn which of them hear nothing. Those that are recorded as
+// down move no shard: agents without answers come by every node in turn.
+func TestShardIsTransferredOnceItsAgentsAreKnown(t *testing.T) {
+	const heardElsewhere = "node-1"
+	for _, c := range []struct {
+		name        string
+		ownedFor    time.Duration
+		down        bool
+		transferred bool
+	}{
+		{name: "owned for long", ownedFor: tuning.ShardTransferMinOwned, transferred: true},
+		{name: "taken over lately", ownedFor: tuning.ShardTransferMinOwned - time.Second},
+		{name: "all down", ownedFor: tuning.ShardTransferMinOwned, down: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newTestSite(1, 6)
+			now := testStart.Add(c.ownedFor)
+			heardBy := map[string]string{}
+			for i := range s.machines {
+				s.machines[i].Up = !c.down
+				s.machines[i].LastHeard = now.Add(-testTiming.probeAfter() - time.Second)
+				heardBy[s.machines[i].Name] = heardElsewhere
+			}
+			asked := s.detector.Assess(now, s.machines, tasksOf).AskPeersAbout
+			s.detector.RecordPeerAnswers(now, asked, heardBy)
+			transfers := s.detector.Assess(now, s.machines, tasksOf).ShardTransfers
+			if transferred := transfers[0] == heardElsewhere; len(asked) == 0 || transferred != c.transferred {
+				t.Errorf("asked about %v, transfers %v", asked, transfers)
+			}
+		})
+	}
+}
--- a/internal/failuredetector/peers.go
+++ b/internal/failuredetector/peers.go
@@ -67,15 +67,16 @@
 }
 
 // shardTransfers gives the shards of which one other node hears more than half of the machines that are up, and
-// that node.
-func (p *peerKnowledge) shardTransfers(machines []Machine) map[int]string {
+// that node. A shard that this node has not had for tuning.ShardTransferMinOwned stays.
+func (p *peerKnowledge) shardTransfers(now time.Time, machines []Machine) map[int]string {
 	up := map[int]int{}
 	heardBy := map[int]map[string]int{}
 	for i := range machines {
 		machine := &machines[i]
-		if machine.Up {
-			up[machine.Shard]++
+		if !machine.Up || now.Sub(machine.OwnedSince) < tuning.ShardTransferMinOwned {
+			continue
 		}
+		up[machine.Shard]++
 		if node := p.answers[machine.Name].node; node != "" {
 			if heardBy[machine.Shard] == nil {
 				heardBy[machine.Shard] = map[string]int{}
--- a/internal/scheduler/adoption.go
+++ b/internal/scheduler/adoption.go
@@ -55,6 +55,9 @@
 	newSession := machine != nil && update.machine.Session != session
 	status := c.agents.MachineStatus(name, c.shards.fencingTokens[shard])
 	update.machine.Up = isUp(status, &update.machine)
+	if machine != nil && machine.Up && !update.machine.Up {
+		c.logMarkedDown(machine, oneWayReason(status))
+	}
 	update.machine.Session = session
 	update.machine.Type, update.machine.Zone = heartbeat.MachineType, heartbeat.Zone
 	update.machine.Spot, update.machine.Address = heartbeat.Spot, heartbeat.Address
@@ -82,6 +85,14 @@
 	}
 }
 
+// oneWayReason says in which direction a machine can't be reached, for the log.
+func oneWayReason(status agent.MachineStatus) string {
+	if status.OutboundLost {
+		return "outbound lost"
+	}
+	return "inbound lost"
+}
+
 // adoptionPriority is the priority of recording a machine; machine is nil if it has no record yet. That a machine is
 // up can wait: other nodes only plan with it, its owner uses it at once. A new session can't: other nodes bind gangs
 // and services to the one on record, which this node ends at once, and both over and over. After a zone's leases had
--- a/internal/scheduler/machinerecord.go
+++ b/internal/scheduler/machinerecord.go
@@ -47,13 +47,17 @@
 // owner knows it anyway; but gangs and services are placed by other nodes too, to which it would look like the emptiest
 // machine there is, and what they bind to it would wait until its lease expires, over and over.
 func (c *cycle) markMachineDown(machine *clusterstate.Machine, reason string) {
-	c.log.Info("machine marked as down", "machine", machine.Name, "reason", reason, "count", len(machine.Bindings))
+	c.logMarkedDown(machine, reason)
 	update := updateOf(changeOfMachineDown, machine)
 	update.machine.Up = false
 	c.writeMachine(update).Priority = kvstore.PriorityHigh
 	c.inventoryCache.toRefresh.add(machine.Name)
 }
 
+func (c *cycle) logMarkedDown(machine *clusterstate.Machine, reason string) {
+	c.log.Info("machine marked as down", "machine", machine.Name, "reason", reason, "count", len(machine.Bindings))
+}
+
 // deleteMachine marks a machine to be deleted at the cloud. What runs on it waits for this change as for one of its
 // own: behind the ends of arrays' tasks, replicas would wait for seconds more.
 func (c *cycle) deleteMachine(deletion failuredetector.Deletion) {
--- a/internal/tuning/agents.go
+++ b/internal/tuning/agents.go
@@ -45,6 +45,11 @@
 	// AgentFailoverTime is how long an agent may take beyond that to find its shard's new owner: it tries the nodes
 	// one after the other.
 	AgentFailoverTime = 15 * time.Second
+	// ShardTransferMinOwned is how long a node must have owned a shard before it transfers it to one that hears its
+	// agents. In that time each agent comes round to the owner once, a command to each has failed or not, and it is
+	// certain which machines hear nothing: agents without answers go from node to node, and a shard that followed
+	// them would have no owner for long enough to learn that.
+	ShardTransferMinOwned = AgentFailoverTime + CommandTimeout + InboundLostAfter
 	// DeletionCapShare is the largest fraction of a node's machines (at least two) that may be deleted for silence
 	// in DeletionCapWindow; DeletionCapShareServingZone holds for those in a zone of which at least half is heard:
 	// a loss of a fifth of a region once took two windows, and the services on it were down for 20 s longer.
