knownfailures: an entry is a single test or subtest, with its command and seed

The bound of three is gone. Each fault of a list has its error; what go test skips and runs is tested with go test itself.

--- a/cmd/knownfailures/main.go
+++ b/cmd/knownfailures/main.go
@@ -1,6 +1,7 @@
 // Command knownfailures serves CI with the list of tests that are known to fail (KNOWN-RED.txt).
 // "skip" checks the list and prints the pattern for go test -skip; "run" runs the listed tests apart
-// and prints what came of each, whatever that is. Exit status 1: the list is wrong; 2: wrong use.
+// and prints what came of each. Exit status 1: the list is wrong, or a run shows something else than the known
+// failure: no such subtest, a package that does not build, a crash, a time-out; 2: wrong use.
 package main
 
 import (
@@ -37,6 +38,9 @@
 	if wrongList := new(listError); errors.As(err, &wrongList) {
 		return exitWrongList
 	}
+	if wrongRun := new(knownfailures.RunError); errors.As(err, &wrongRun) {
+		return exitWrongList
+	}
 	return exitWrongUse
 }
 
@@ -89,15 +93,17 @@
 	}
 }
 
-// runTest runs a listed test and prints what came of it. A test that fails is no error.
+// runTest runs a listed test and prints what came of it. That it fails is no error; a run that shows something else
+// is one.
 func runTest(ctx context.Context, out io.Writer, test knownfailures.Test, flags []string) error {
-	arguments := append([]string{"test", "-count=1", "-run", "^" + test.Name + "$"}, flags...)
+	arguments := append([]string{"test", "-v", "-count=1", "-run", test.Pattern()}, flags...)
 	output, failure := exec.CommandContext(ctx, "go", append(arguments, test.Package)...).CombinedOutput()
-	outcome := "passes now: take it off the list"
-	if failure != nil {
-		outcome = "fails"
+	outcome, wrongRun := knownfailures.Judge(test, string(output), failure == nil)
+	if wrongRun != nil {
+		_, err := out.Write(output)
+		return errors.Join(wrongRun, err)
 	}
-	_, err := fmt.Fprintf(out, "known failure: %s %s %s (%s, %s)\n%s",
-		test.Package, test.Name, outcome, test.Cause, test.Issue, output)
+	_, err := fmt.Fprintf(out, "known failure: %s %s %s (%s, seed %s: %s, %s)\n%s",
+		test.Package, test.Name, outcome, test.Command, test.Seed, test.Seen, test.Issue, output)
 	return err
 }
--- a/internal/knownfailures/knownfailures.go
+++ b/internal/knownfailures/knownfailures.go
@@ -7,23 +7,49 @@
 	"regexp"
 	"slices"
 	"strings"
-
-	"sableusher/internal/tuning"
 )
 
-// Test is one line of the list: a test of a package, why it fails, and the issue that mends it.
+// Test is one line of the list: a test of a package or a subtest, how to play it, what was seen of its failure, and
+// the issue that mends it.
 type Test struct {
 	Package string // as go test takes it, such as ./internal/scheduler
-	Name    string
-	Cause   string
+	Name    string // with its subtest, such as TestDays/4
+	Command string // that plays it
+	Seed    string // "none": it has none
+	Seen    string
 	Issue   string // such as #12
 }
 
-// linePattern is "./internal/scheduler TestName, cause, #12"; the cause may hold commas.
-var linePattern = regexp.MustCompile(`^(\./[a-z0-9/]+) (Test[A-Za-z0-9_]+), (\S.*\S), (#[0-9]+)$`)
+// topLevel is the test function's name.
+func (t *Test) topLevel() string {
+	name, _, _ := strings.Cut(t.Name, "/")
+	return name
+}
+
+// covers tells whether a test is the other one, or the other is a subtest of it.
+func (t *Test) covers(other *Test) bool {
+	return t.Name == other.Name || strings.HasPrefix(other.Name, t.Name+"/")
+}
+
+// Pattern is the pattern for go test -run and -skip that matches the test and no other one.
+func (t *Test) Pattern() string {
+	parts := strings.Split(t.Name, "/")
+	for i, part := range parts {
+		parts[i] = "^" + regexp.QuoteMeta(part) + "$"
+	}
+	return strings.Join(parts, "/")
+}
+
+// Parts of a line, in their order. The name of a test may hold commas, and so may what was seen.
+var (
+	testPattern    = regexp.MustCompile(`^(\./[a-z0-9/]+) (Test[A-Za-z0-9_]+(?:/\S+)?), (.*)$`)
+	commandPattern = regexp.MustCompile("^`([^`]*(?:go test|scripts/play) [^`]*)`, (.*)$")
+	seedPattern    = regexp.MustCompile(`^seed (none|[0-9]+), (.*)$`)
+	seenPattern    = regexp.MustCompile(`^(\S.*\S|\S), (#[0-9]+)$`)
+)
 
-// Read reads the list. Empty lines are skipped; any other line that is no test's, a test that is listed
-// twice and a line too many give a LineError.
+// Read reads the list. Empty lines are skipped; any other line that is no test's, and a test that is listed twice,
+// give a LineError.
 func Read(list io.Reader) ([]Test, error) {
 	var tests []Test
 	lines := bufio.NewScanner(list)
@@ -32,7 +58,12 @@
 		if text == "" {
 			continue
 		}
-		test, err := parseLine(text, tests)
+		test, err := parseLine(text)
+		if err == nil && slices.ContainsFunc(tests, func(other Test) bool {
+			return other.covers(&test) || test.covers(&other)
+		}) {
+			err = ErrDuplicateTest
+		}
 		if err != nil {
 			return nil, &LineError{number, text, err}
 		}
@@ -44,47 +75,51 @@
 	return tests, nil
 }
 
-// parseLine parses a line that follows those of other tests.
-func parseLine(text string, before []Test) (Test, error) {
-	fields := linePattern.FindStringSubmatch(text)
-	if fields == nil {
+func parseLine(text string) (Test, error) {
+	head := testPattern.FindStringSubmatch(text)
+	if head == nil {
 		return Test{}, ErrMalformedLine
 	}
-	test := Test{Package: fields[1], Name: fields[2], Cause: fields[3], Issue: fields[4]}
-	// Also in two packages: what is skipped is named without its package.
-	if slices.ContainsFunc(before, func(other Test) bool { return other.Name == test.Name }) {
-		return Test{}, ErrDuplicateTest
+	command := commandPattern.FindStringSubmatch(head[3])
+	if command == nil || !slices.Contains(strings.Fields(command[1]), head[1]) {
+		return Test{}, ErrNoCommand
+	}
+	seed := seedPattern.FindStringSubmatch(command[2])
+	if seed == nil {
+		return Test{}, ErrNoSeed
 	}
-	if len(before) == tuning.KnownFailuresMax {
-		return Test{}, ErrTooManyTests
+	seen := seenPattern.FindStringSubmatch(seed[2])
+	if seen == nil {
+		return Test{}, ErrNoIssue
 	}
-	return test, nil
+	return Test{
+		Package: head[1], Name: head[2], Command: command[1], Seed: seed[1], Seen: seen[1], Issue: seen[2],
+	}, nil
 }
 
-// SkipPattern is the pattern for go test -skip that skips the tests; empty if there are none.
+// SkipPattern is the pattern for go test -skip that skips the tests and no others; empty if there are none. It names
+// no packages, so a test function's name must be of one package alone, as CheckExist has it.
 func SkipPattern(tests []Test) string {
-	if len(tests) == 0 {
-		return ""
-	}
-	names := make([]string, len(tests))
-	for i, test := range tests {
-		names[i] = test.Name
+	patterns := make([]string, len(tests))
+	for i := range tests {
+		patterns[i] = tests[i].Pattern()
 	}
-	return "^(" + strings.Join(names, "|") + ")$"
+	return strings.Join(patterns, "|")
 }
 
-// CheckExist holds the list against what there is: names of tests by package, as go test -list prints them.
-// A test that does not exist in its package, or that exists in another one as well, gives a LocationError.
+// CheckExist holds the list against what there is: names of test functions by package, as go test -list prints them.
+// A test whose function does not exist in its package, or exists in another one as well, gives a LocationError.
+// Whether a subtest exists shows only when it is run: see Judge.
 func CheckExist(tests []Test, namesByPackage map[string][]string) error {
-	for _, test := range tests {
+	for i := range tests {
 		var packages []string
 		for pkg, names := range namesByPackage {
-			if slices.Contains(names, test.Name) {
+			if slices.Contains(names, tests[i].topLevel()) {
 				packages = append(packages, pkg)
 			}
 		}
-		if len(packages) != 1 || packages[0] != test.Package {
-			return &LocationError{test, packages}
+		if len(packages) != 1 || packages[0] != tests[i].Package {
+			return &LocationError{tests[i], packages}
 		}
 	}
 	return nil
--- a/internal/knownfailures/knownfailures_test.go
+++ b/internal/knownfailures/knownfailures_test.go
@@ -3,7 +3,7 @@
 import (
 	"errors"
 	"fmt"
-	"regexp"
+	"os/exec"
 	"slices"
 	"strings"
 	"testing"
@@ -11,7 +11,6 @@
 	"pgregory.net/rapid"
 
 	"sableusher/internal/testrand"
-	"sableusher/internal/tuning"
 )
 
 func TestMain(m *testing.M) { testrand.Main(m) }
@@ -29,35 +28,57 @@
 	alsoInA string
 }
 
+// entry is a line of the list for a test of package A.
+func entry(name string) string { return entryOf(packageA, name) }
+
+func entryOf(pkg, name string) string {
+	return fmt.Sprintf("%s %s, `go test %s -run '^%s$'`, seed 5, late, by two leases, #3", pkg, name, pkg, name)
+}
+
 func listFaults() []listFault {
-	faults := []listFault{
-		{name: "no issue", lines: []string{"./internal/a TestOther, cause"}, want: ErrMalformedLine},
-		{name: "no cause", lines: []string{"./internal/a TestOther, , #3"}, want: ErrMalformedLine},
-		{name: "no package", lines: []string{"TestOther, cause, #3"}, want: ErrMalformedLine},
-		{name: "subtest", lines: []string{"./internal/a TestOther/one, cause, #3"}, want: ErrMalformedLine},
+	const head = "./internal/a TestOther, "
+	return []listFault{
+		{name: "no issue", lines: []string{head + "`go test ./internal/a`, seed 5, late"}, want: ErrNoIssue},
+		{name: "nothing seen", lines: []string{head + "`go test ./internal/a`, seed 5, , #3"}, want: ErrNoIssue},
+		{name: "no seed", lines: []string{head + "`go test ./internal/a`, late, #3"}, want: ErrNoSeed},
+		{
+			name: "seed without number", want: ErrNoSeed,
+			lines: []string{head + "`go test ./internal/a`, seed x, late, #3"},
+		},
+		{name: "no command", lines: []string{head + "seed 5, late, #3"}, want: ErrNoCommand},
+		{
+			name: "command without test", want: ErrNoCommand,
+			lines: []string{head + "`true ./internal/a`, seed 5, late, #3"},
+		},
+		{
+			name: "other package", want: ErrNoCommand,
+			lines: []string{head + "`go test ./internal/b`, seed 5, late, #3"},
+		},
+		{name: "former form", lines: []string{head + "cause, #3"}, want: ErrNoCommand},
+		{
+			name: "no package", want: ErrMalformedLine,
+			lines: []string{"TestOther, `go test ./internal/a`, seed 5, late, #3"},
+		},
+		{name: "empty subtest", lines: []string{entry("TestOther/")}, want: ErrMalformedLine},
 		{name: "comment", lines: []string{"# a remark"}, want: ErrMalformedLine},
-		{name: "absent", lines: []string{"./internal/a TestGone, cause, #3"}},
-		{name: "elsewhere", lines: []string{"./internal/b TestOther, cause, #3"}},
-		{name: "in two packages", lines: []string{"./internal/b TestElse, cause, #3"}, alsoInA: "TestElse"},
+		{name: "absent", lines: []string{entry("TestGone")}},
+		{name: "subtest of an absent one", lines: []string{entry("TestGone/4")}},
+		{name: "elsewhere", lines: []string{entryOf(packageB, "TestOther")}},
+		{name: "in two packages", lines: []string{entryOf(packageB, "TestElse")}, alsoInA: "TestElse"},
+		{name: "twice", lines: []string{entry("TestOther/4"), entry("TestOther/4")}, want: ErrDuplicateTest},
 		{
-			name:  "twice",
-			lines: []string{"./internal/a TestOther, one, #3", "./internal/b TestOther, two, #3"},
-			want:  ErrDuplicateTest,
+			name: "with its subtest", want: ErrDuplicateTest,
+			lines: []string{entry("TestOther"), entry("TestOther/4")},
+		},
+		{
+			name: "after its subtest", want: ErrDuplicateTest,
+			lines: []string{entry("TestOther/4"), entry("TestOther")},
 		},
 	}
-	tooMany := listFault{name: "too many", want: ErrTooManyTests}
-	for i := range tuning.KnownFailuresMax + 1 {
-		tooMany.lines = append(tooMany.lines, fmt.Sprintf("./internal/a TestB%d, cause, #3", i))
-	}
-	return append(faults, tooMany)
 }
 
-// check fails unless reading a list, and holding it against what there is, gives the fault's error. A line
-// that would be one too many may be found first.
-func (f *listFault) check(t *rapid.T, listed int, err error) {
-	if errors.Is(err, ErrTooManyTests) && listed+len(f.lines) > tuning.KnownFailuresMax {
-		return
-	}
+// check fails unless reading a list, and holding it against what there is, gives the fault's error.
+func (f *listFault) check(t *rapid.T, err error) {
 	if location := new(LocationError); f.want == nil && !errors.As(err, &location) {
 		t.Fatalf("%s: %v", f.name, err)
 	}
@@ -70,15 +91,18 @@
 // one skips its tests and no others.
 func TestLists(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		count := rapid.IntRange(0, tuning.KnownFailuresMax).Draw(t, "tests")
-		var lines []string
+		count := rapid.IntRange(0, 5).Draw(t, "tests")
+		var lines, listed []string
 		names := map[string][]string{packageA: {"TestOther", "TestA0b"}, packageB: {"TestElse"}}
 		for i := range count {
 			name := fmt.Sprintf("TestA%d", i)
-			lines = append(lines, fmt.Sprintf("./internal/a %s, late, by two leases, #%d", name, 20+i))
 			names[packageA] = append(names[packageA], name)
+			if rapid.Bool().Draw(t, "subtest") {
+				name += "/" + rapid.SampledFrom([]string{"4", "cut,_a_restart", "a|b", "after_1.5s/x"}).Draw(t, "name")
+			}
+			listed = append(listed, name)
+			lines = append(lines, entry(name))
 		}
-		listed := slices.Clone(names[packageA][2:])
 		fault := rapid.SampledFrom(append(listFaults(), listFault{})).Draw(t, "fault")
 		lines = append(append(lines, ""), fault.lines...)
 		if fault.alsoInA != "" {
@@ -89,27 +113,79 @@
 			err = CheckExist(tests, names)
 		}
 		if fault.name != "" {
-			fault.check(t, count, err)
+			fault.check(t, err)
 			return
 		}
 		if err != nil {
 			t.Fatal(err)
 		}
-		checkSkipPattern(t, SkipPattern(tests), names[packageA], listed)
+		for i, test := range tests {
+			if test.Name != listed[i] || test.Seen != "late, by two leases" || test.Seed != "5" || test.Issue != "#3" {
+				t.Fatalf("%+v", test)
+			}
+		}
 	})
 }
 
-func checkSkipPattern(t *rapid.T, pattern string, names, listed []string) {
-	if len(listed) == 0 {
-		if pattern != "" {
-			t.Fatal("skips tests without a list")
-		}
-		return
+// TestPatterns: go test skips and runs just what is listed, down to a single subtest.
+func TestPatterns(t *testing.T) {
+	const program = "./testdata/days"
+	tests := []Test{{Package: program, Name: "TestDays/4"}, {Package: program, Name: "TestPairs/cut,_a_restart"}}
+	all := []string{
+		"TestDays", "TestDays/4", "TestDays/40", "TestDays2", "TestPairs", "TestPairs/cut,_a_restart", "TestPairs/cut",
 	}
-	skip := regexp.MustCompile(pattern)
-	for _, name := range names {
-		if skip.MatchString(name) != slices.Contains(listed, name) {
-			t.Fatalf("%s: listed %v", name, slices.Contains(listed, name))
+	for _, c := range []struct {
+		flag, pattern string
+		want          []string
+	}{
+		{"-skip", SkipPattern(tests), []string{"TestDays", "TestDays/40", "TestDays2", "TestPairs", "TestPairs/cut"}},
+		{"-run", tests[0].Pattern(), []string{"TestDays", "TestDays/4"}},
+		{"-run", tests[1].Pattern(), []string{"TestPairs", "TestPairs/cut,_a_restart"}},
+		{"-skip", SkipPattern(nil), all},
+	} {
+		output, err := exec.CommandContext(t.Context(), "go", "test", "-v", "-count=1", c.flag, c.pattern, program).
+			CombinedOutput()
+		if err != nil {
+			t.Fatalf("%v: %s", err, output)
+		}
+		for _, name := range all {
+			if ran := reports(string(output), "=== RUN", name); ran != slices.Contains(c.want, name) {
+				t.Errorf("%s %q: %s ran: %v", c.flag, c.pattern, name, ran)
+			}
 		}
 	}
 }
+
+// TestJudge: only that the test itself fails is the known failure; what was not run, did not build, crashed or timed
+// out is an error.
+func TestJudge(t *testing.T) {
+	test := Test{Package: packageA, Name: "TestDays/4"}
+	const (
+		run    = "=== RUN   TestDays\n=== RUN   TestDays/4\n"
+		failed = "--- FAIL: TestDays (1.00s)\n    --- FAIL: TestDays/4 (1.00s)\n"
+	)
+	for name, c := range map[string]struct {
+		output    string
+		succeeded bool
+		want      Outcome
+		wantErr   error
+	}{
+		"fails":              {run + failed + "FAIL\n", false, Fails, nil},
+		"passes":             {run + "PASS\n", true, PassesNow, nil},
+		"no such subtest":    {"=== RUN   TestDays\nPASS\n", true, Fails, ErrNotRun},
+		"longer name":        {"=== RUN   TestDays/40\nPASS\n", true, Fails, ErrNotRun},
+		"no such test":       {"testing: warning: no tests to run\nPASS\n", true, Fails, ErrNotRun},
+		"does not build":     {"FAIL\t./internal/a [build failed]\n", false, Fails, ErrBroken},
+		"panics":             {run + failed + "panic: deadlock\n", false, Fails, ErrCrashed},
+		"time-out":           {run + "panic: test timed out after 10m0s\n", false, Fails, ErrCrashed},
+		"fatal error":        {run + "fatal error: all goroutines are asleep\n", false, Fails, ErrCrashed},
+		"fails in its frame": {run + "--- FAIL: TestDays (1.00s)\n", false, Fails, ErrBroken},
+	} {
+		t.Run(name, func(t *testing.T) {
+			outcome, err := Judge(test, c.output, c.succeeded)
+			if outcome != c.want || !errors.Is(err, c.wantErr) {
+				t.Errorf("%v, %v; want %v, %v", outcome, err, c.want, c.wantErr)
+			}
+		})
+	}
+}
--- a/internal/tuning/regress.go
+++ b/internal/tuning/regress.go
@@ -11,8 +11,6 @@
 	RegressMinServedShare = 0.5
 	// RegressHuntDays is how many days a full run hunts for broken rules on each site.
 	RegressHuntDays = 4
-	// KnownFailuresMax is how many tests may be known to fail at once: a longer list would be a habit.
-	KnownFailuresMax = 3
 )
 
 // RegressSeeds are the further seeds on which a regression is confirmed.
