--- a/internal/simulation/cancelfetch_test.go
+++ b/internal/simulation/cancelfetch_test.go
@@ -23,14 +23,24 @@
 type fetchDay struct {
 	name          string
 	schemaVersion int // that all controllers read at the beginning
-	replaced      bool
+	// meanwhile is what happens as the first jobs are cancelled; nil: nothing.
+	meanwhile func(ctx context.Context, r *Region, random *rand.Rand)
 }
 
 var fetchDays = []fetchDay{
 	{name: "schema version 0"},
 	{name: "schema version 1", schemaVersion: tuning.SchemaVersionDependencies},
 	{name: "newest schema version", schemaVersion: tuning.SchemaVersion},
-	{name: "activated meanwhile", replaced: true},
+	{name: "activated meanwhile", meanwhile: replaceControllers},
+	{
+		name: "records migrated meanwhile", schemaVersion: tuning.SchemaVersionDependencies,
+		meanwhile: lowerStoreLimits,
+	},
+	{
+		name: "records of the newest version migrated meanwhile", schemaVersion: tuning.SchemaVersion,
+		meanwhile: lowerStoreLimits,
+	},
+	{name: "a controller cut off and another restarted", meanwhile: cutOffAndRestart},
 }
 
 // fetchDayJob is one of four shapes: an array, one of several records, a gang and a service.
@@ -82,9 +92,11 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	random := newRandom(3, streamFetchDay)
-	r := testRegion{capacityPerKind: 12, random: newRandom(3, streamRegion)}.start(ctx)
+	r := testRegion{
+		settings: upgradeSettings, capacityPerKind: 12, random: newRandom(3, streamRegion),
+	}.start(ctx)
 	for i := range threeControllers {
-		r.AddStoppedController(testSettings(i), d.schemaVersion)
+		r.AddStoppedController(upgradeSettings(i), d.schemaVersion)
 		r.StartController(ctx, i)
 	}
 	fetching := make([]bool, fetchDayJobs)
@@ -96,8 +108,8 @@
 		})
 	}
 	time.Sleep(30 * time.Second)
-	if d.replaced {
-		d.replaceControllers(ctx, r, random)
+	if d.meanwhile != nil {
+		d.meanwhile(ctx, r, random)
 	}
 	time.Sleep(3 * time.Minute)
 	waited, open := r.Checker.CancellationDurations()
@@ -119,7 +131,7 @@
 }
 
 // replaceControllers replaces the controllers, one after the other, by those of the newest version.
-func (d fetchDay) replaceControllers(ctx context.Context, r *Region, random *rand.Rand) {
+func replaceControllers(ctx context.Context, r *Region, random *rand.Rand) {
 	for i := range threeControllers {
 		r.controllers[i].SchemaVersion = tuning.SchemaVersion
 		r.RestartController(ctx, i, 2*time.Second)
@@ -127,6 +139,21 @@
 	}
 }
 
+// lowerStoreLimits lowers the key-value store's limits, so that jobs' records are split further.
+func lowerStoreLimits(_ context.Context, r *Region, _ *rand.Rand) { r.KV.LowerLimits(loweredLimits) }
+
+// cutOffAndRestart cuts a controller off from the key-value store and restarts the leader, again and again.
+func cutOffAndRestart(ctx context.Context, r *Region, random *rand.Rand) {
+	for range 3 {
+		leader := r.LeaderIndex()
+		other := r.ControllerName((leader + 1) % threeControllers)
+		until := time.Now().Add(secondsBetween(random, 4, 6))
+		r.Network.AddPartition(Partition{From: other, To: hostKV, DeliverLate: oneInTwo(random), Until: until})
+		r.RestartController(ctx, leader, time.Second)
+		time.Sleep(secondsBetween(random, 8, 5))
+	}
+}
+
 // TestCancelledJobsDoNotStart: a user is told that a job is cancelled, and seconds later a task of it starts. The
 // machine had the start command before, and was still fetching the image. Below schema version 2 a cancellation was
 // confirmed as soon as it was durable, whatever was bound, and the stop reached the machine with the answer to its
