--- a/internal/simulation/logrecorder_test.go
+++ b/internal/simulation/logrecorder_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"regexp"
 	"slices"
 	"sync"
@@ -111,29 +112,40 @@
 
 // zoneStates gives the states that each controller's last process has logged of each zone, in turn.
 func zoneStates(records []logRecord) map[zoneObserver][]string {
-	states, incarnations := map[zoneObserver][]string{}, map[string]string{}
+	states, processes := map[zoneObserver][]string{}, processesByNode{}
 	for _, record := range records {
-		node := record.attributes[keyNode]
-		switch record.message {
+		switch observer := observerOf(record); record.message {
 		case messageSessionOpen:
-			if incarnation := record.attributes[keyIncarnation]; incarnations[node] != incarnation {
-				incarnations[node] = incarnation
-				forgetObserver(states, node)
+			if processes.begins(record) {
+				forgetObserver(states, observer.node)
 			}
 		case messageZoneChanged:
-			observer := zoneObserver{node, record.attributes[keyZone]}
 			states[observer] = append(states[observer], record.attributes[keyState])
 		}
 	}
 	return states
 }
 
-func forgetObserver(states map[zoneObserver][]string, node string) {
-	for observer := range states {
-		if observer.node == node {
-			delete(states, observer)
-		}
+func observerOf(record logRecord) zoneObserver {
+	return zoneObserver{record.attributes[keyNode], record.attributes[keyZone]}
+}
+
+// processesByNode has the incarnation of each controller's process.
+type processesByNode map[string]string
+
+// begins tells whether a session that was opened is of another process than the one before.
+func (p processesByNode) begins(sessionOpen logRecord) bool {
+	node, incarnation := sessionOpen.attributes[keyNode], sessionOpen.attributes[keyIncarnation]
+	if p[node] == incarnation {
+		return false
 	}
+	p[node] = incarnation
+	return true
+}
+
+// forgetObserver drops what a controller has seen of all zones.
+func forgetObserver[Seen any](seen map[zoneObserver]Seen, node string) {
+	maps.DeleteFunc(seen, func(observer zoneObserver, _ Seen) bool { return observer.node == node })
 }
 
 var suspectedDeletionReason = regexp.MustCompile(`^silent for [^,]*, (service|gang|array|holds)`)
--- a/internal/simulation/zonejudgement_test.go
+++ b/internal/simulation/zonejudgement_test.go
@@ -21,20 +21,13 @@
 // them has it cut off or lost at once, and has logged that.
 func judgeZoneStates(records []logRecord) zoneJudgement {
 	judgement := zoneJudgement{mostExpected: map[zoneObserver]int{}}
-	logged := map[zoneObserver]string{}
-	incarnations := map[string]string{}
+	logged, processes := map[zoneObserver]string{}, processesByNode{}
 	for _, record := range records {
-		node := record.attributes[keyNode]
-		observer := zoneObserver{node, record.attributes[keyZone]}
+		observer := observerOf(record)
 		switch record.message {
 		case messageSessionOpen:
-			if incarnation := record.attributes[keyIncarnation]; incarnations[node] != incarnation {
-				incarnations[node] = incarnation
-				for other := range logged {
-					if other.node == node {
-						delete(logged, other)
-					}
-				}
+			if processes.begins(record) {
+				forgetObserver(logged, observer.node)
 			}
 		case messageZoneChanged:
 			logged[observer] = record.attributes[keyState]
