--- a/cmd/knownfailures/main.go
+++ b/cmd/knownfailures/main.go
@@ -11,37 +11,24 @@
 	"io"
 	"os"
 	"os/exec"
-	"os/signal"
-	"syscall"
 
 	"github.com/spf13/cobra"
 
+	"sableusher/internal/command"
 	"sableusher/internal/knownfailures"
 )
 
-const (
-	exitWrongList = 1
-	exitWrongUse  = 2
-)
+// exitWrongList is the exit status where the list is wrong, or what it says of a test.
+const exitWrongList = 1
 
-func main() { os.Exit(run()) }
+func main() { os.Exit(command.Run(newCommand(), exitStatus)) }
 
-// run gives the exit status.
-func run() int {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	err := newCommand().ExecuteContext(ctx)
-	if err == nil {
-		return 0
-	}
-	fmt.Fprintln(os.Stderr, "knownfailures:", err)
-	if wrongList := new(listError); errors.As(err, &wrongList) {
-		return exitWrongList
-	}
-	if wrongRun := new(knownfailures.RunError); errors.As(err, &wrongRun) {
+func exitStatus(err error) int {
+	wrongList, wrongRun := new(listError), new(knownfailures.RunError)
+	if errors.As(err, &wrongList) || errors.As(err, &wrongRun) {
 		return exitWrongList
 	}
-	return exitWrongUse
+	return command.ExitWrongUse
 }
 
 func newCommand() *cobra.Command {
--- a/cmd/regress/main.go
+++ b/cmd/regress/main.go
@@ -8,38 +8,27 @@
 	"errors"
 	"fmt"
 	"os"
-	"os/signal"
 	"path/filepath"
-	"syscall"
 
 	"github.com/spf13/cobra"
 
+	"sableusher/internal/command"
 	"sableusher/internal/regress"
 )
 
-const (
-	exitRegressed = 1
-	exitWrongUse  = 2
-)
+// exitRegressed is the exit status of a run with errRegressed.
+const exitRegressed = 1
 
 // errRegressed is a run that found days that failed or regressed.
 var errRegressed = errors.New("days failed or fell")
 
-func main() { os.Exit(run()) }
+func main() { os.Exit(command.Run(newCommand(), exitStatus)) }
 
-// run gives the exit status.
-func run() int {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	err := newCommand().ExecuteContext(ctx)
-	if err == nil {
-		return 0
-	}
-	fmt.Fprintln(os.Stderr, "regress:", err)
+func exitStatus(err error) int {
 	if errors.Is(err, errRegressed) {
 		return exitRegressed
 	}
-	return exitWrongUse
+	return command.ExitWrongUse
 }
 
 // options are the command's flags.
@@ -50,7 +39,7 @@
 
 func newCommand() *cobra.Command {
 	o := &options{plan: regress.Plan{Log: os.Stderr, RepositoryDir: "."}}
-	command := &cobra.Command{
+	root := &cobra.Command{
 		Use:           "regress",
 		Short:         "Score the operators' sites and compare each day with the last figure on record.",
 		Args:          cobra.NoArgs,
@@ -58,7 +47,7 @@
 		SilenceErrors: true,
 		RunE:          o.run,
 	}
-	flags, plan := command.Flags(), &o.plan
+	flags, plan := root.Flags(), &o.plan
 	flags.StringVar(&plan.BenchProgram, "bench", "", "the bench's program; the one under --given where it is left out")
 	flags.StringVar(&plan.KitDir, "given", filepath.Join("..", "given"), "the folder that holds the operators' kit")
 	flags.BoolVar(&plan.IncludeFleetSites, "fleet", false, "score the sites of the larger fleet too")
@@ -69,7 +58,7 @@
 		"play nothing: compare the last score of each site in the journal with those before it")
 	flags.StringVar(&plan.Reason, "why", "regression run",
 		"what the run is for, for the journal (under 120 characters)")
-	return command
+	return root
 }
 
 // check completes the plan, and refuses flags that contradict each other.
