--- a/internal/api/cancelrequests_test.go
+++ b/internal/api/cancelrequests_test.go
@@ -107,17 +107,18 @@
 		job.Spec.TaskCount = tuning.FixedChunkTasks + 2
 		server.putJob(job)
 		job.RequestCancel(5)
+		markedAt := uint64(0)
 		server.onCommit = func() {
 			server.putJob(job)
-			server.revision = initialRevision - 1
-			server.onCommit = nil
-			server.onBarrier = func() { server.revision = initialRevision }
+			server.revision = initialRevision - 2
+			server.onBarrier = func() { server.revision++ } // a binding may still be missing after the first one
+			server.onCommit = func() { markedAt = server.revision }
 		}
 		if status, state := server.cancel(testJobID); status != http.StatusOK || state != wire.JobCancelled {
 			t.Errorf("%d %q", status, state)
 		}
-		if len(server.committed) != 2 {
-			t.Fatalf("%d writes, want the request and the mark", len(server.committed))
+		if len(server.committed) != 2 || markedAt != initialRevision {
+			t.Fatalf("%d writes, want the request and the mark; marked at revision %d", len(server.committed), markedAt)
 		}
 		if written := server.lastJobWritten(t); written.CancelledAtMs == 0 {
 			t.Errorf("wrote %+v", written)
--- /dev/null
+++ b/internal/clusterstate/cancelrequests_test.go
@@ -0,0 +1,42 @@
+package clusterstate
+
+import (
+	"log/slog"
+	"testing"
+
+	"sableusher/internal/record"
+	"sableusher/internal/wire"
+)
+
+// TestStoppingJobChangesItsMachines: what follows the changes looks at the machines of a job again when it is
+// cancelled and when that is requested: its tasks are to be stopped there.
+func TestStoppingJobChangesItsMachines(t *testing.T) {
+	const machine = "vm-1"
+	for name, stop := range map[string]func(*record.Job){
+		"cancelled": func(job *record.Job) { job.MarkCancelled(5, true) },
+		"requested": func(job *record.Job) { job.RequestCancel(5) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			state := New(testShards, slog.New(slog.DiscardHandler))
+			bound := record.Task{State: record.TaskBound, Attempt: 1, Machine: machine}
+			job := record.Job{Spec: wire.JobSpec{ID: "run-1", TaskCount: 2}, Tasks: []record.Task{bound}}
+			put := func(revision uint64) {
+				state.BeginUpdate()
+				state.Put(record.JobKey(job.Spec.ID), wire.MustEncode(job), revision)
+				state.EndUpdate()
+			}
+			put(1)
+			feed := state.FollowChanges()
+			clear(feed.machines)
+			put(2)
+			if len(feed.machines) > 0 {
+				t.Errorf("without a change: %v", feed.machines)
+			}
+			stop(&job)
+			put(3)
+			if _, changed := feed.machines[machine]; !changed || !state.Jobs[job.Spec.ID].Stopping() {
+				t.Errorf("changed machines %v", feed.machines)
+			}
+		})
+	}
+}
