--- a/internal/simulation/onewaylinks_test.go
+++ b/internal/simulation/onewaylinks_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"sableusher/internal/config"
 	"sableusher/internal/record"
 	"sableusher/internal/wire"
 )
@@ -22,13 +23,45 @@
 	oneIn          int
 	wholeShard     bool // all machines of one controller that is not the leader are among them
 	leaderRestarts bool
+	// oneController: there is no other one to which agents without answers go on.
+	oneController bool
+	// mayAllBeGivenUp: all of the machines may be given up, or recorded as down with a new session, before one is
+	// recorded for the loss alone.
+	mayAllBeGivenUp bool
 }
 
 // inboundLostDay has half of the machines hear nothing.
+//
+// Once no machine at all was recorded for it (TestOneWayMachinesAreReturned, in one run of the whole suite). Traced:
+// of the 17 to 20 machines of a day, 1 to 16 are recorded in 260 plays. An agent without answers goes on to the next
+// controller and comes back to its owner only after 15 s, so the owner gives others up before: "deleting a machine"
+// with the reason "silent for 11s", 6 to 28 s after the loss. Others are recorded as down in one change with the
+// session that follows their lease. That all are so is allowed: none keeps its capacity, which every such day checks
+// by the records. That machines are recorded for the loss alone is asked of the day with one controller, where none
+// can go on to another: it always has them.
 func inboundLostDay(duration time.Duration) oneWayDay {
 	return oneWayDay{
 		reason: reasonInboundLost, lose: (*Region).LoseInbound, duration: duration, oneIn: 2, leaderRestarts: true,
+		mayAllBeGivenUp: true,
+	}
+}
+
+// oneControllerSettings are those of a deployment of one controller.
+func oneControllerSettings(index int) *config.Settings {
+	settings := faultDaySettings(index)
+	settings.Peers, settings.Deployment.NodeCount = nil, 1
+	return settings
+}
+
+func (d oneWayDay) startRegion(ctx context.Context, log *slog.Logger) *Region {
+	region := testRegion{
+		settings: faultDaySettings, capacityPerKind: 10, random: newRandom(7, streamRegion), log: log,
+	}
+	if d.oneController {
+		region.settings = oneControllerSettings
+		return region.startControllers(ctx, 1)
 	}
+	return region.startControllers(ctx, threeControllers)
 }
 
 // outboundLostDay has a quarter of the machines reach no controller. Were most of a controller's so, it would
@@ -58,12 +91,7 @@
 	const jobs = 60
 	ctx, cancel := context.WithCancel(context.Background())
 	logged, random := &logRecorder{}, newRandom(7, streamOneWayDay)
-	r = testRegion{
-		settings:        faultDaySettings,
-		capacityPerKind: 10,
-		random:          newRandom(7, streamRegion),
-		log:             logged.logger(slog.LevelDebug),
-	}.startControllers(ctx, threeControllers)
+	r = d.startRegion(ctx, logged.logger(slog.LevelDebug))
 	for i := range jobs {
 		delay, job := randomOneWayJob(random, i)
 		r.SimulateUserAfter(ctx, delay, job)
@@ -83,7 +111,10 @@
 	r.end(cancel)
 	checkDay(t, r)
 	recorded = d.checkLog(t, logged.records)
-	if d.wholeShard && len(stillUp) > 0 {
+	if len(recorded) == 0 && !d.mayAllBeGivenUp {
+		t.Errorf("no machine was recorded as down, %s", d.reason)
+	}
+	if d.reason == reasonInboundLost && len(stillUp) > 0 {
 		t.Errorf("%v of %d machines that lost a link are recorded as up as it comes back", stillUp, len(lost))
 	}
 	t.Log(len(recorded), "machines were recorded for it;", r.Checker.Observed)
@@ -92,7 +123,7 @@
 
 // loseMachines lets the machines lose their links, and gives them.
 func (d oneWayDay) loseMachines(r *Region) (lost []string) {
-	wholeShard := (r.LeaderIndex() + 1) % threeControllers
+	wholeShard := (r.LeaderIndex() + 1) % r.ControllerCount()
 	for i, machine := range r.Machines() {
 		inWholeShard := d.wholeShard && record.ShardOf(machine, threeControllers) == wholeShard
 		if i%d.oneIn == 0 || inWholeShard {
@@ -161,8 +192,8 @@
 			}
 		}
 	}
-	if len(records) == 0 || bindings == 0 {
-		t.Errorf("%d machines were recorded as down, %s; %d bindings", len(records), d.reason, bindings)
+	if bindings == 0 {
+		t.Error("no task was bound")
 	}
 	for machine, count := range records {
 		recorded = append(recorded, machine)
@@ -180,6 +211,22 @@
 	synctest.Test(t, func(t *testing.T) { inboundLostDay(80 * time.Second).simulate(t) })
 }
 
+// TestInboundLostMachinesOfOneController: a deployment of one controller records each machine that hears nothing, and
+// returns it once nothing is left on it: its agent asks the same controller again, so it is never silent.
+func TestInboundLostMachinesOfOneController(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		day := inboundLostDay(7 * time.Minute)
+		day.oneController, day.leaderRestarts, day.mayAllBeGivenUp = true, false, false
+		r, recorded := day.simulate(t)
+		remaining := r.Machines()
+		for _, machine := range recorded {
+			if slices.Contains(remaining, machine) {
+				t.Errorf("%s is still there", machine)
+			}
+		}
+	})
+}
+
 // TestOutboundLostMachinesAreEvacuated: a quarter of the machines reach no controller for longer than a lease, while
 // commands reach them. Once such a machine looked ready whenever it answered one: task after task was started there
 // and ended with its lease. Nothing is bound to it, and replicas have left it before the lease ends.
