api: a mark of several records waits until each owner is known to honor requests

Found by reading: below schema version 2, while an owner had no session, a job of several records was marked once the cluster state showed nothing bound. If that owner was a process of a version before, it might have bound a task in a further record meanwhile, with which the mark does not collide. The answer is 503 until the shard has changed hands. New test; it fails without the change.

--- a/internal/api/cancel.go
+++ b/internal/api/cancel.go
@@ -109,8 +109,10 @@
 // on is a condition. Callers hold the lock of the cluster state.
 func (s *Server) cancellationAmongOlderVersions(job *clusterstate.Job) (cancellation, error) {
 	support, conditions := s.clusterState.CancelRequestSupport()
-	released := job.FullyReleased() &&
-		(job.ChunkCount() == 1 || job.CancelRequested() && s.barrier.Revision() >= job.ModRevision)
+	// A task bound in a further record does not collide with the mark: none may come after the request.
+	allReleased := job.CancelRequested() && support == clusterstate.CancelRequestsHonored &&
+		s.barrier.Revision() >= job.ModRevision
+	released := job.FullyReleased() && (job.ChunkCount() == 1 || allReleased)
 	marked, outcome, now := *job, cancellationConfirmed, time.Now().UnixMilli()
 	switch {
 	case support == clusterstate.CancelRequestsIgnored:
@@ -118,10 +120,10 @@
 		marked.MarkCancelled(now, false)
 	case released:
 		marked.MarkCancelled(now, false)
-	case job.CancelRequested():
-		return cancellation{}, nil
 	case support == clusterstate.CancelRequestsUnsettled:
 		return cancellation{}, errOwnersUnsettled
+	case job.CancelRequested():
+		return cancellation{}, nil
 	default:
 		marked.RequestCancel(now)
 		outcome = cancellationRequested
--- a/internal/api/cancelrequests_test.go
+++ b/internal/api/cancelrequests_test.go
@@ -126,6 +126,20 @@
 	})
 }
 
+// TestMarkOfSeveralRecordsNeedsAllOwners: while an owner has no session it may be of a version that binds tasks of the
+// job all the same, in a further record, with which the mark does not collide: nothing is written.
+func TestMarkOfSeveralRecordsNeedsAllOwners(t *testing.T) {
+	server := newTestServer()
+	server.putOwners(nil)
+	job := record.Job{Spec: testSpec()}
+	job.Spec.TaskCount = tuning.FixedChunkTasks + 2
+	job.RequestCancel(5)
+	server.putJob(job)
+	if status, _ := server.cancel(testJobID); status != http.StatusServiceUnavailable || len(server.committed) > 0 {
+		t.Errorf("%d, %d writes", status, len(server.committed))
+	}
+}
+
 // TestCancelRequestsNeedAllOwners: a request has no effect on an owner of a version that does not know of it: the
 // job is marked and confirmed at once, as that owner would. While an owner has no session nothing is written.
 func TestCancelRequestsNeedAllOwners(t *testing.T) {
