--- a/internal/simulation/celllinks.go
+++ b/internal/simulation/celllinks.go
@@ -96,13 +96,13 @@
 	var errs []error
 	for _, controller := range region.controllers {
 		region.mu.Lock()
-		handler, alive := controller.cellHandler, controller.isAlive()
+		handler, answers, process := controller.cellHandler, controller.isAlive(), controller.alive
 		region.mu.Unlock()
-		if handler == nil || !alive {
+		if handler == nil || !answers {
 			continue
 		}
 		reply, err := handler(ctx, message)
-		if !controller.alive.Load() {
+		if !process.Load() {
 			err = errConnectionReset
 		}
 		if err == nil {
--- a/internal/simulation/controllerfaults.go
+++ b/internal/simulation/controllerfaults.go
@@ -7,7 +7,7 @@
 
 // RestartController kills a controller and starts it again later, unless it is stopped already.
 func (r *Region) RestartController(ctx context.Context, index int, delay time.Duration) {
-	if !r.controllers[index].alive.Load() {
+	if !r.controllerIsAlive(index) {
 		return
 	}
 	r.KillController(index)
--- a/internal/simulation/controllers.go
+++ b/internal/simulation/controllers.go
@@ -98,10 +98,19 @@
 // KillController ends a controller's process without warning.
 func (r *Region) KillController(index int) {
 	process := r.controllers[index]
-	process.alive.Store(false)
+	r.mu.Lock()
+	alive, stop, exited := process.alive, process.stop, process.exited
+	r.mu.Unlock()
+	alive.Store(false)
 	r.Network.Listen(process.Address, nil)
-	process.stop()
-	<-process.exited
+	stop()
+	<-exited
+}
+
+func (r *Region) controllerIsAlive(index int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.controllers[index].isAlive()
 }
 
 // KillAllControllers ends the processes of all controllers, one after the other.
