--- a/internal/api/cancel.go
+++ b/internal/api/cancel.go
@@ -74,8 +74,7 @@
 	if _, err := s.committer.Commit(ctx, change.transaction); err != nil {
 		return nothingToMark, err
 	}
-	s.logger.Debug("job cancelled", "job_id", id, "outcome", change.outcome,
-		"confirmed", change.outcome == cancellationConfirmed)
+	s.logger.Debug("job cancelled", "job_id", id, "outcome", change.outcome)
 	return change.outcome, nil
 }
 
@@ -115,10 +114,7 @@
 	released := job.FullyReleased() && (job.ChunkCount() == 1 || allReleased)
 	marked, outcome, now := *job, cancellationConfirmed, time.Now().UnixMilli()
 	switch {
-	case support == clusterstate.CancelRequestsIgnored:
-		conditions = nil
-		marked.MarkCancelled(now, false)
-	case released:
+	case released, support == clusterstate.CancelRequestsIgnored:
 		marked.MarkCancelled(now, false)
 	case support == clusterstate.CancelRequestsUnsettled:
 		return cancellation{}, errOwnersUnsettled
--- a/internal/scheduler/adoption.go
+++ b/internal/scheduler/adoption.go
@@ -88,9 +88,9 @@
 // oneWayReason says in which direction a machine can't be reached, for the log.
 func oneWayReason(status agent.MachineStatus) string {
 	if status.OutboundLost {
-		return "outbound lost"
+		return reasonOutboundLost
 	}
-	return "inbound lost"
+	return reasonInboundLost
 }
 
 // adoptionPriority is the priority of recording a machine; machine is nil if it has no record yet. That a machine is
--- a/internal/scheduler/evacuation.go
+++ b/internal/scheduler/evacuation.go
@@ -64,7 +64,7 @@
 	leadTime := time.Duration(tuning.OutboundLostEvacuationLeaseShare * float64(c.settings.LeaseDuration()))
 	for _, machine := range machines {
 		if machine.Up {
-			c.markMachineDown(machine.Machine, "outbound lost")
+			c.markMachineDown(machine.Machine, reasonOutboundLost)
 		}
 		step := float64(record.ShardOf(machine.Name,
 			tuning.OutboundLostEvacuationSteps)) / tuning.OutboundLostEvacuationSteps
--- a/internal/scheduler/failedmachines.go
+++ b/internal/scheduler/failedmachines.go
@@ -62,7 +62,7 @@
 		inspection.outboundLost = append(inspection.outboundLost, lost)
 	}
 	if machine.Up && status.InboundLost {
-		c.markMachineDown(machine, "inbound lost")
+		c.markMachineDown(machine, reasonInboundLost)
 	}
 	if reason := c.deletionReason(machine, &status); reason != "" {
 		c.deleteMachine(failuredetector.Deletion{Machine: machine.Name, Reason: reason})
--- a/internal/scheduler/machinerecord.go
+++ b/internal/scheduler/machinerecord.go
@@ -43,6 +43,12 @@
 	return &change.transaction
 }
 
+// Reasons for which a machine that is there is recorded as down, for the log.
+const (
+	reasonInboundLost  = "inbound lost"
+	reasonOutboundLost = "outbound lost"
+)
+
 // markMachineDown records that a machine which can be reached in one direction only is not up, until that is over. Its
 // owner knows it anyway; but gangs and services are placed by other nodes too, to which it would look like the emptiest
 // machine there is, and what they bind to it would wait until its lease expires, over and over.
--- a/internal/simulation/onewaylinks_test.go
+++ b/internal/simulation/onewaylinks_test.go
@@ -204,6 +204,17 @@
 	return recorded
 }
 
+// checkReturned fails if one of the machines is still there.
+func checkReturned(t *testing.T, r *Region, machines []string) {
+	t.Helper()
+	remaining := r.Machines()
+	for _, machine := range machines {
+		if slices.Contains(remaining, machine) {
+			t.Errorf("%s is still there", machine)
+		}
+	}
+}
+
 // TestInboundLostMachinesReceiveNoTasks: half of the machines hear nothing for longer than a lease, and the
 // leader ends meanwhile. From when a machine's record says so, no controller binds a task to it before it hears
 // again, so gangs and services that come meanwhile start on others; and it is recorded once.
@@ -218,12 +229,7 @@
 		day := inboundLostDay(7 * time.Minute)
 		day.oneController, day.leaderRestarts, day.mayAllBeGivenUp = true, false, false
 		r, recorded := day.simulate(t)
-		remaining := r.Machines()
-		for _, machine := range recorded {
-			if slices.Contains(remaining, machine) {
-				t.Errorf("%s is still there", machine)
-			}
-		}
+		checkReturned(t, r, recorded)
 	})
 }
 
@@ -247,12 +253,7 @@
 		t.Run(day.reason, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				r, recorded := day.simulate(t)
-				remaining := r.Machines()
-				for _, machine := range recorded {
-					if slices.Contains(remaining, machine) {
-						t.Errorf("%s is still there", machine)
-					}
-				}
+				checkReturned(t, r, recorded)
 			})
 		})
 	}
