--- a/review/standin/cloud.go
+++ b/review/standin/cloud.go
@@ -38,9 +38,9 @@
 	goneAt   time.Time // zero while it is there
 }
 
-func newCloud(types []wire.MachineType, rps float64, lag time.Duration) *cloud {
+func newCloud(types []wire.MachineType, rps float64, lag time.Duration, capacity int) *cloud {
 	return &cloud{
-		types: types, lag: lag, capacity: 100, boot: 1500 * time.Millisecond,
+		types: types, lag: lag, capacity: capacity, boot: 1500 * time.Millisecond,
 		calls: bucket{2 * rps, 2 * rps, time.Now()}, charters: map[string][]string{},
 	}
 }
--- a/review/standin/dependents.go
+++ b/review/standin/dependents.go
@@ -14,7 +14,7 @@
 func ondaviva() site {
 	return site{
 		zones: []string{"chapinero", "teusaquillo"}, nodes: 3, reportS: 4, leaseS: 24, cancelS: 44, gangWaitS: 50,
-		gangPeerS: 5, limits: storeLimits{200, 80, 16, 32}, cloudRPS: 10, listLagS: 10,
+		gangPeerS: 5, limits: storeLimits{200, 80, 16, 32}, cloudRPS: 10, listLagS: 10, capacity: 28,
 		cpuShare: 0.24, memMB: 179, sockets: 1200,
 		teams: "[[deployment.teams]]\nname = \"emision\"\ncpus = 0.0\ncpus_max = 0.0\ngpus = 0.0\ngpus_max = 0.0\n",
 		types: []wire.MachineType{{
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,11 +18,13 @@
 // cases are the scenarios by name.
 var cases = map[string]func(w *world, trouble bool) error{
 	"dependents": playDependents,
+	"grants":     playGrants,
 }
 
 // places are the deployments of the scenarios.
 var places = map[string]func() site{
 	"dependents": ondaviva,
+	"grants":     mazad,
 }
 
 func main() {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -21,6 +21,7 @@
 	reportRedirect  = 100 * time.Millisecond
 	workerTick      = 20 * time.Millisecond
 	maxReportJitter = 0.25
+	mistakeTime     = 300 * time.Millisecond // from the start of a task of a mistaken job to its failure
 )
 
 // attempt is one start of a task.
@@ -312,9 +313,7 @@
 			a.images[task.spec.Image] = true
 			a.begin(key, task, now)
 		case wire.TaskRunning:
-			if task.spec.Kind != wire.KindService {
-				a.exit(key, task, wire.ExitCauseDone)
-			}
+			a.end(key, task)
 		case wire.TaskCheckpointing:
 			task.CheckpointSaved = true
 			a.exit(key, task, wire.ExitCauseStopped)
@@ -331,9 +330,25 @@
 	}
 	task.State, task.onMachine = wire.TaskRunning, true
 	task.until = now.Add(a.world.runTime(job, index))
+	if a.world.mistaken[job.spec.ID] {
+		task.until = now.Add(mistakeTime)
+	}
 	a.world.taskStarted(a, key, job)
 }
 
+// end ends a task whose run is over: it fails or is done. A service does not end by itself.
+func (a *worker) end(key attempt, task *workerTask) {
+	job, _, _ := a.world.jobOf(key.task)
+	switch {
+	case a.world.mistaken[job.spec.ID]:
+		job.failures++
+		a.world.rec.logf("task %s/%d fails on %s", key.task, key.number, a.machine.ID)
+		a.exit(key, task, wire.ExitCauseError)
+	case task.spec.Kind != wire.KindService:
+		a.exit(key, task, wire.ExitCauseDone)
+	}
+}
+
 func (a *worker) exit(key attempt, task *workerTask, cause wire.ExitCause) {
 	job, index, _ := a.world.jobOf(key.task)
 	a.leave(key, task)
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -24,6 +24,7 @@
 	gangPeerS                           float64
 	limits                              storeLimits
 	cloudRPS, listLagS                  float64
+	capacity                            int // machines of each type, zone and kind
 	cpuShare, memMB                     float64
 	sockets                             int
 	types                               []wire.MachineType
@@ -44,6 +45,7 @@
 	mu       sync.Mutex // guards the fields below and the workers
 	workers  map[string]*worker
 	jobs     map[string]*userJob
+	mistaken map[string]bool   // jobs that fail on every machine
 	onHost   map[string]string // machine by task
 	runTime  func(job *userJob, index int) time.Duration
 	onceDone func(job *userJob)
@@ -62,6 +64,7 @@
 	done       map[int]bool
 	endedAt    time.Time // when its last task completed
 	starts     int
+	failures   int
 }
 
 // Ports of the stand-ins: below those that outgoing connections take.
@@ -85,8 +88,9 @@
 	w := &world{
 		rec: rec, site: place, folder: folder, reportS: place.reportS, lease: seconds(place.leaseS),
 		store:   newStore(place.limits),
-		cloud:   newCloud(place.types, place.cloudRPS, seconds(place.listLagS)),
-		workers: map[string]*worker{}, jobs: map[string]*userJob{}, onHost: map[string]string{},
+		cloud:   newCloud(place.types, place.cloudRPS, seconds(place.listLagS), place.capacity),
+		workers: map[string]*worker{}, jobs: map[string]*userJob{}, mistaken: map[string]bool{},
+		onHost:  map[string]string{},
 		stopped: make(chan struct{}),
 	}
 	w.cloud.start = func(machine wire.CloudMachine) { go w.startWorker(machine) }
