review: a healthy machine is held to be faulty for good

Change: case 3, a script that fills a zone with price boards but for one place, has two jobs with a mistake fail there, and submits further boards. Nothing is mended.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,12 +19,14 @@
 var cases = map[string]func(w *world, trouble bool) error{
 	"dependents": playDependents,
 	"grants":     playGrants,
+	"mistakes":   playMistakes,
 }
 
 // places are the deployments of the scenarios.
 var places = map[string]func() site{
 	"dependents": ondaviva,
 	"grants":     mazad,
+	"mistakes":   mazad,
 }
 
 func main() {
