clusterstate: the applied revision, and a log of what a cancelled dependency rests on

Three guesses could not be told apart from the log: the mark of the cancellation seen before an older change of the job's other record; both in one transaction, whose operations are applied one after another; a completion that follows the mark.

The watch cache now tells its sink the revision up to which every change has been applied, and the cluster state logs at debug level what it shows of a dependency at the moment at which it counts as cancelled: its record's revision, the applied revision, and the counts of its tasks.

--- a/internal/clusterstate/dependencies.go
+++ b/internal/clusterstate/dependencies.go
@@ -126,6 +126,7 @@
 		case dependencyMet:
 			job.markDependencyMet(dependency, atMs)
 		case dependencyCancelled:
+			s.logDependencyCancelled(id, dependency)
 			s.markDependencyCancelled(id, job)
 			return
 		case dependencyLive, dependencyUnknown: // no final outcome yet
@@ -141,6 +142,19 @@
 	j.DependenciesMetAtMs = max(j.DependenciesMetAtMs, atMs)
 }
 
+// logDependencyCancelled logs what the cluster state shows of a dependency at the moment at which it counts as cancelled.
+// If mod_revision is above revision, changes of the dependency's other records may be missing.
+func (s *State) logDependencyCancelled(id, dependency string) {
+	job := s.Jobs[dependency]
+	if job == nil || !job.HasRecord {
+		s.log.Debug("dependency cancelled", "job_id", id, "dependency", dependency, "ended", true)
+		return
+	}
+	s.log.Debug("dependency cancelled", "job_id", id, "dependency", dependency, "ended", false,
+		"mod_revision", job.ModRevision, "revision", s.revision, "count", job.Spec.TaskCount,
+		"done", job.DoneCount, "bound", job.BoundCount, "records", job.ChunkCount())
+}
+
 func (s *State) markDependencyCancelled(id string, job *Job) {
 	job.DependencyCancelled, job.DependencyCancelledAt = true, time.Now()
 	s.dependencies.cancelled[id] = struct{}{}
--- a/internal/clusterstate/state.go
+++ b/internal/clusterstate/state.go
@@ -34,6 +34,7 @@
 	// OrphanBindings holds the bindings to machines that are not in Machines, by machine name.
 	OrphanBindings map[string]map[record.TaskRef]Binding
 
+	revision           uint64            // every change up to this revision has been applied
 	rentalByMachine    map[string]string // name of the open rental that lists a machine
 	longestMachineName int               // in bytes, of all machines seen so far
 	dependencies       dependencyIndex
--- a/internal/clusterstate/update.go
+++ b/internal/clusterstate/update.go
@@ -85,6 +85,14 @@
 	}
 }
 
+// SetRevision records that every change up to a revision is applied when the current group of changes ends. It must be
+// called between BeginUpdate and EndUpdate. Single records may be newer: those that this node has written itself, and
+// those on the later pages of a listing.
+func (s *State) SetRevision(revision uint64) { s.revision = revision }
+
+// HasAppliedRevision reports whether every change up to a revision has been applied. The caller must hold the lock.
+func (s *State) HasAppliedRevision(revision uint64) bool { return s.revision >= revision }
+
 func (s *State) put(change recordChange) error {
 	for _, handler := range prefixHandlers {
 		if name, ok := strings.CutPrefix(change.key, handler.prefix); ok {
--- a/internal/kvstore/helpers_test.go
+++ b/internal/kvstore/helpers_test.go
@@ -29,10 +29,19 @@
 type mapSink map[string]string
 
 func (m mapSink) BeginUpdate()                                  {}
+func (m mapSink) SetRevision(uint64)                            {}
 func (m mapSink) EndUpdate()                                    {}
 func (m mapSink) Put(key string, value wire.RawValue, _ uint64) { m[key] = string(value) }
 func (m mapSink) Delete(key string)                             { delete(m, key) }
 
+// revisionSink is a mapSink that also stores the revision.
+type revisionSink struct {
+	mapSink
+	revision uint64
+}
+
+func (s *revisionSink) SetRevision(revision uint64) { s.revision = revision }
+
 // newTestCache returns a client with the transport, and a cache of cachedPrefix that uses it.
 func newTestCache(transport http.RoundTripper, limits Limits, sink Sink) (*Client, *WatchCache) {
 	client := NewClient(testAddress, limits, transport)
--- a/internal/kvstore/watchcache.go
+++ b/internal/kvstore/watchcache.go
@@ -20,10 +20,15 @@
 
 // Sink receives the changes of the cached keys. The changes between BeginUpdate and
 // EndUpdate form one group: readers of the sink see either all of them or none.
+//
+// SetRevision is called within a group: with the end of the group the sink contains
+// every change up to the revision. It may contain newer changes too: those of this
+// node's own transactions, and those that later pages of a listing show.
 type Sink interface {
 	BeginUpdate()
 	Put(key string, value wire.RawValue, modRevision uint64)
 	Delete(key string)
+	SetRevision(revision uint64)
 	EndUpdate()
 }
 
@@ -182,6 +187,7 @@
 	}
 	c.synced = true
 	c.publishedRevision.Store(c.revision)
+	c.sink.SetRevision(c.revision)
 	if known := c.completeAsOf.Load(); known == nil || requestedAt.After(*known) {
 		c.completeAsOf.Store(&requestedAt)
 	}
--- a/internal/kvstore/watchcache_test.go
+++ b/internal/kvstore/watchcache_test.go
@@ -61,7 +61,7 @@
 	*history
 
 	cache        *WatchCache
-	sink         mapSink
+	sink         *revisionSink
 	ownRevisions []uint64 // revisions that were applied by ApplyOwn
 }
 
@@ -71,7 +71,7 @@
 // that restores the deleted record of a finished job.
 func TestWatchCacheFollowsHistory(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		run := &cacheRun{history: drawHistory(t), sink: mapSink{}}
+		run := &cacheRun{history: drawHistory(t), sink: &revisionSink{mapSink: mapSink{}}}
 		_, run.cache = newTestCache(nil, minimalLimits, run.sink)
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
 			run.step(t)
@@ -133,10 +133,32 @@
 		}
 	}
 	for _, key := range cachedKeys {
-		if want := r.states[r.cache.revision][key]; !ahead[key] && r.sink[key] != want {
-			t.Fatalf("cache at revision %d: key %s has value %q, want %q", r.cache.revision, key, r.sink[key], want)
+		if want := r.states[r.cache.revision][key]; !ahead[key] && r.sink.mapSink[key] != want {
+			t.Fatalf("cache at revision %d: key %s has value %q, want %q",
+				r.cache.revision, key, r.sink.mapSink[key], want)
 		}
 	}
+	if r.sink.revision != r.cache.Revision() {
+		t.Fatalf("cache at revision %d: the sink has revision %d", r.cache.Revision(), r.sink.revision)
+	}
+}
+
+// TestPagesSetNoRevision checks that neither a page of a listing nor an own change sets the sink's revision: pages show
+// the keys at different revisions, so together they are no state that the store ever had.
+func TestPagesSetNoRevision(t *testing.T) {
+	sink := &revisionSink{mapSink: mapSink{}}
+	_, cache := newTestCache(nil, minimalLimits, sink)
+	cache.applyPage(wire.RangeResponse{Revision: 5, KeyValues: []wire.KeyValue{
+		{Key: "s/a", Value: wire.MustEncode(1), ModRevision: 4},
+	}})
+	cache.ApplyOwn([]wire.Op{PutOp("s/b", 1)}, 6)
+	if sink.revision != 0 {
+		t.Errorf("revision %d after a page and an own change, want 0", sink.revision)
+	}
+	cache.applyWatch(0, wire.WatchResponse{Revision: 7}, time.Now())
+	if sink.revision != 7 {
+		t.Errorf("revision %d after a watch, want 7", sink.revision)
+	}
 }
 
 // TestLateWatchDoesNotUndoOwnDelete checks that a watch response that ends at a
