clusterstate: a dependency counts as cancelled only once its cancellation is final

What callers saw: a job was called cancelled though nobody cancelled it and the job before it was answered done.

Cause: a live job with the mark of a cancellation counted as cancelled at once, for good, unless all its tasks showed as done. The last tasks of a job with several records may end in a change of another record, which does not conflict with the mark and has a lower revision. It shows later than the mark in two ways: the node that writes the mark applies its own transaction ahead of the watch; and one node may send both changes in one transaction, whose operations are applied one after another, while the dependents were updated between them, on every node.

Change: State.IsCancellationFinal. Every change up to the job's record has been applied, not all tasks are done, the job is not offloaded, and, where users are told only then, no task is bound. It is evaluated at the end of a group of changes. Nothing makes a job done after that: a change of a task has the job's own record as a condition, and a node that has read the mark records no task as done. These are the conditions under which users are told that the job is cancelled, so the wait ends when the watch has reached what that answer rested on.

--- a/internal/api/backend_test.go
+++ b/internal/api/backend_test.go
@@ -81,6 +81,7 @@
 func (b *fakeBackend) putAt(key string, value any, modRevision uint64) {
 	b.state.BeginUpdate()
 	b.state.Put(key, wire.MustEncode(value), modRevision)
+	b.state.SetRevision(b.revision)
 	b.state.EndUpdate()
 }
 
--- a/internal/clusterstate/dependencies.go
+++ b/internal/clusterstate/dependencies.go
@@ -8,8 +8,10 @@
 )
 
 // A job may depend on other jobs. Their outcomes are taken from their records: from the live record of a job that has
-// one, and otherwise from the final record, which the dependency resolver reads. Done and cancelled are final, so an
-// outcome that was observed once remains valid. A missing record proves nothing about the outcome.
+// one, and otherwise from the final record, which the dependency resolver reads. Only an outcome that no change can turn
+// into another is taken (safety invariant 30), so one that was observed once remains valid: that of a final record, that
+// all tasks are done, or that the job is cancelled and IsCancellationFinal. A missing record proves nothing about the
+// outcome.
 
 // dependencyIndex tracks which live jobs depend on which other jobs. It is guarded by the State's lock.
 type dependencyIndex struct {
@@ -17,6 +19,7 @@
 	finals       map[string]record.Final        // final records of jobs that others depend on
 	unresolved   map[string]struct{}            // dependencies that are not live and whose final record was not read
 	cancelled    map[string]struct{}            // live jobs that depend on a cancelled job
+	cancelling   map[string]struct{}            // cancelled live jobs that others depend on and that may still be done
 }
 
 func newDependencyIndex() dependencyIndex {
@@ -25,6 +28,7 @@
 		finals:       map[string]record.Final{},
 		unresolved:   map[string]struct{}{},
 		cancelled:    map[string]struct{}{},
+		cancelling:   map[string]struct{}{},
 	}
 }
 
@@ -48,6 +52,7 @@
 			delete(x.dependentsOf, dependency)
 			delete(x.finals, dependency)
 			delete(x.unresolved, dependency)
+			delete(x.cancelling, dependency)
 		}
 	}
 	delete(x.cancelled, id)
@@ -60,7 +65,7 @@
 	dependencyUnknown   dependencyOutcome = iota // not live, and its final record was not read
 	dependencyLive                               // has not ended
 	dependencyMet                                // done
-	dependencyCancelled                          // cancelled or about to be: it will never be done
+	dependencyCancelled                          // it will never be done
 )
 
 // String returns the outcome's name.
@@ -83,8 +88,10 @@
 		return dependencyUnknown, 0
 	case live.Complete():
 		return dependencyMet, time.Now().UnixMilli()
-	case live.Cancelled() || live.DependencyCancelled:
+	case live.cancellationFinal || live.DependencyCancelled:
 		return dependencyCancelled, 0
+	case live.Cancelled():
+		s.dependencies.cancelling[id] = struct{}{} // settled at the end of a group of changes
 	}
 	return dependencyLive, 0
 }
--- a/internal/clusterstate/dependencies_test.go
+++ b/internal/clusterstate/dependencies_test.go
@@ -40,6 +40,7 @@
 	change(&job)
 	m.state.BeginUpdate()
 	m.state.Put(record.JobKey(id), wire.MustEncode(job), m.revision)
+	m.state.SetRevision(m.revision)
 	m.state.EndUpdate()
 }
 
@@ -176,6 +177,7 @@
 			restarted.Put(record.JobKey(id), wire.MustEncode(job), 1)
 		}
 	}
+	restarted.SetRevision(1)
 	restarted.EndUpdate()
 	return restarted
 }
@@ -238,7 +240,8 @@
 	}
 	m.state.EndUpdate()
 	index := &m.state.dependencies
-	kept := len(index.dependentsOf) + len(index.finals) + len(index.unresolved) + len(index.cancelled)
+	kept := len(index.dependentsOf) + len(index.finals) + len(index.unresolved) + len(index.cancelled) +
+		len(index.cancelling)
 	if kept += len(m.state.Jobs); kept != 0 {
 		t.Errorf("%d entries are left after all jobs have ended", kept)
 	}
--- a/internal/clusterstate/jobs.go
+++ b/internal/clusterstate/jobs.go
@@ -27,6 +27,8 @@
 	DependenciesMetAtMs   int64            // when the last of them was done; 0 if none is
 	DependencyCancelled   bool             // a dependency is cancelled, so this job never runs
 	DependencyCancelledAt time.Time        // when this node observed that
+
+	cancellationFinal bool // see State.IsCancellationFinal; known only of jobs that others depend on
 }
 
 // Chunk is the range of a job's tasks that is stored in one record.
--- a/internal/clusterstate/update.go
+++ b/internal/clusterstate/update.go
@@ -71,6 +71,7 @@
 
 // EndUpdate ends the group, releases the lock and notifies the subscribers.
 func (s *State) EndUpdate() {
+	s.settleCancellations()
 	subscribers := s.changes.subscribers
 	s.Unlock()
 	notify(subscribers)
