api: a job that completed before its mark is not reported as cancelled

What callers may see: a job of several records is reported as cancelled and later as done, below schema version 2 while an owner of a shard ignores cancellation requests.

Cause: such a cancellation is marked and confirmed at once. The last task may have completed before, in another record, which does not conflict with the mark; the node's own mark shows in its cluster state ahead of that change. The same holds for a poll between the mark and the watch.

Change: such a mark of a job with several records is answered from the job's status, read after another barrier; and polls use State.IsCancellationFinal, the condition under which dependents are cancelled. ReadBarrier.Revision is gone: the cluster state has the revision, under the same lock as the records.

TestCancellationAtCompletionWithOlderNodes failed before, for the request and for the poll (200 cancelled instead of done and running).

--- a/internal/api/backend_test.go
+++ b/internal/api/backend_test.go
@@ -35,7 +35,6 @@
 	barriers     int
 	committed    []kvstore.Transaction
 	onCommit     func() // called by each commit that succeeds, to update the cluster state; may be nil
-	revision     uint64
 }
 
 func (b *fakeBackend) Get(_ context.Context, key string) (wire.KeyValue, error) {
@@ -67,8 +66,6 @@
 
 func (b *fakeBackend) CompleteAsOf() time.Time { return time.Now() }
 
-func (b *fakeBackend) Revision() uint64 { return b.revision }
-
 func (b *fakeBackend) HandleHeartbeat(*wire.Heartbeat) agent.HeartbeatResult {
 	return agent.HeartbeatResult{
 		Outcome: agent.HeartbeatRenewed, Response: wire.HeartbeatResponse{FencingToken: 1},
@@ -81,7 +78,13 @@
 func (b *fakeBackend) putAt(key string, value any, modRevision uint64) {
 	b.state.BeginUpdate()
 	b.state.Put(key, wire.MustEncode(value), modRevision)
-	b.state.SetRevision(b.revision)
+	b.state.EndUpdate()
+}
+
+// setRevision sets the revision up to which the cluster state has every change. It is initialRevision at first.
+func (b *fakeBackend) setRevision(revision uint64) {
+	b.state.BeginUpdate()
+	b.state.SetRevision(revision)
 	b.state.EndUpdate()
 }
 
@@ -123,8 +126,8 @@
 	backend := &fakeBackend{
 		state:        clusterstate.New(3, logger),
 		finalRecords: map[string]record.Final{},
-		revision:     initialRevision,
 	}
+	backend.setRevision(initialRevision)
 	settings := &config.Settings{}
 	settings.Deployment.Teams = []config.Team{{Name: "t", GPUsMax: 2}}
 	server := New(Config{
--- a/internal/api/cancel.go
+++ b/internal/api/cancel.go
@@ -42,6 +42,8 @@
 			return "", errStoreUnavailable
 		case outcome == cancellationConfirmed:
 			return wire.JobCancelled, nil
+		case outcome == cancellationMarkedAtOnce:
+			continue
 		}
 		if !s.waitUntilReleased(ctx, id) {
 			return "", errTasksStopping
@@ -54,15 +56,16 @@
 type markOutcome int
 
 const (
-	nothingToMark         markOutcome = iota // the job is not live, or is already stopping or complete
-	cancellationRequested                    // the job may be marked only once its tasks are released
-	cancellationMarked                       // the job is marked; confirmed only once its tasks are released
-	cancellationConfirmed                    // the cancellation may be confirmed to the user at once
+	nothingToMark            markOutcome = iota // the job is not live, or is already stopping or complete
+	cancellationRequested                       // the job may be marked only once its tasks are released
+	cancellationMarked                          // the job is marked; confirmed only once its tasks are released
+	cancellationMarkedAtOnce                    // the job is marked; confirmed at once unless it was done before
+	cancellationConfirmed                       // the cancellation may be confirmed to the user at once
 )
 
 // String returns the outcome as it is logged.
 func (o markOutcome) String() string {
-	return [...]string{"nothing to mark", "requested", "marked", "confirmed"}[o]
+	return [...]string{"nothing to mark", "requested", "marked", "marked at once", "confirmed"}[o]
 }
 
 // markCancelled marks a live job as cancelled or requests its cancellation. After errOwnersUnsettled
@@ -106,19 +109,26 @@
 // be on its way to a machine, or the machine may be fetching the image. The mark is therefore written only once no
 // task is bound; until then the transaction writes a cancellation request, which older versions ignore. If the owner
 // of a shard ignores such requests, only the mark makes it stop the tasks: the mark is then written and confirmed at
-// once, as that owner would do, and the leases of the tasks expire in time. The transaction is conditional on the
+// once, as that owner would do, and the leases of the tasks expire in time. A job with several records may have completed
+// in a change of another one, which does not conflict with the mark: then its status, read after the mark, decides. The transaction is conditional on the
 // schema version not having changed. The caller must hold the cluster state's lock.
 func (s *Server) newCancellationWithOlderNodes(job *clusterstate.Job) (cancellation, error) {
 	support, conditions := s.clusterState.CancelRequestSupport()
 	// Binding a task in another record of the job does not conflict with the mark. Once all owners honor the request
 	// and the cluster state is as new as the request, no such binding can be missing from it or follow.
 	noUnseenBindings := job.CancelRequested() && support == clusterstate.CancelRequestsHonored &&
-		s.barrier.Revision() >= job.ModRevision
-	released := job.FullyReleased() && (job.ChunkCount() == 1 || noUnseenBindings)
+		s.clusterState.HasAppliedRevision(job.ModRevision)
+	inOneRecord := job.ChunkCount() == 1
+	released := job.FullyReleased() && (inOneRecord || noUnseenBindings)
 	marked, outcome, now := *job, cancellationConfirmed, time.Now().UnixMilli()
 	switch {
-	case released, support == clusterstate.CancelRequestsIgnored:
+	case released:
+		marked.MarkCancelled(now, false)
+	case support == clusterstate.CancelRequestsIgnored:
 		marked.MarkCancelled(now, false)
+		if !inOneRecord { // the job may have completed in another record
+			outcome = cancellationMarkedAtOnce
+		}
 	case support == clusterstate.CancelRequestsUnsettled:
 		return cancellation{}, errOwnersUnsettled
 	case job.CancelRequested():
--- a/internal/api/cancel_test.go
+++ b/internal/api/cancel_test.go
@@ -71,11 +71,11 @@
 				t.Errorf("repeated request: status %d, %d transactions", status, len(server.committed))
 			}
 			server.putJob(cancelled)
-			server.revision = initialRevision - 1
+			server.setRevision(initialRevision - 1)
 			if _, state := server.poll(testJobID); state == wire.JobCancelled {
 				t.Error("confirmed though the cluster state may lack a binding")
 			}
-			server.revision = initialRevision
+			server.setRevision(initialRevision)
 			if status, state := server.cancel(testJobID); status != http.StatusOK || state != wire.JobCancelled {
 				t.Errorf("no task is bound: status %d, state %q", status, state)
 			}
@@ -166,6 +166,39 @@
 	}
 }
 
+// TestCancellationAtCompletionWithOlderNodes: below tuning.SchemaVersionConfirmedCancel, and while an owner ignores
+// cancellation requests, a job is marked and confirmed at once. The node's own mark shows ahead of an older change by
+// another node that has completed the job in another record. Guards against a job that is reported as cancelled, and
+// later as done.
+func TestCancellationAtCompletionWithOlderNodes(t *testing.T) {
+	job := newCompletingJob()
+	server := newTestServer()
+	job.putLive(server)
+	marked := func() {
+		cancelled := record.Job{Spec: job.spec, Tasks: job.first, CancelledAtMs: 5}
+		server.putAt(record.JobKey(job.spec.ID), cancelled, initialRevision+2)
+	}
+	server.onCommit = func() {
+		marked()
+		server.onBarrier = func() { // the next barrier shows the completion, which is older than the mark
+			job.putComplete(server)
+			server.setRevision(initialRevision + 2)
+		}
+	}
+	if status, state := server.cancel(job.spec.ID); status != http.StatusOK || state != wire.JobDone {
+		t.Errorf("cancellation: status %d, state %q, want done", status, state)
+	}
+	if len(server.committed) != 1 {
+		t.Errorf("%d transactions, want one", len(server.committed))
+	}
+	server = newTestServer()
+	job.putLive(server)
+	server.onBarrier = marked // between the barrier's response and the poll's look at the cluster state
+	if status, state := server.poll(job.spec.ID); status != http.StatusOK || state != wire.JobRunning {
+		t.Errorf("poll: status %d, state %q, want running", status, state)
+	}
+}
+
 // TestCancellationWithOlderVersions checks cancellations before and after the activation of
 // tuning.SchemaVersionConfirmedCancel. Nodes of older versions confirm a cancellation at once, newer ones only after
 // the tasks are released. Until the activation, newer nodes therefore also confirm at once; otherwise their polls
--- a/internal/api/cancelrequests_test.go
+++ b/internal/api/cancelrequests_test.go
@@ -111,9 +111,13 @@
 		markedAt := uint64(0)
 		server.onCommit = func() {
 			server.putJob(job)
-			server.revision = initialRevision - 2
-			server.onBarrier = func() { server.revision++ } // a binding may still be missing after the first barrier
-			server.onCommit = func() { markedAt = server.revision }
+			revision := uint64(initialRevision - 2)
+			server.setRevision(revision)
+			server.onBarrier = func() { // a binding may still be missing after the first barrier
+				revision++
+				server.setRevision(revision)
+			}
+			server.onCommit = func() { markedAt = revision }
 		}
 		if status, state := server.cancel(testJobID); status != http.StatusOK || state != wire.JobCancelled {
 			t.Errorf("status %d, state %q, want 200, cancelled", status, state)
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -37,9 +37,6 @@
 	// CompleteAsOf returns the latest time as of which the cluster state is known to hold every change; zero if there
 	// is none yet.
 	CompleteAsOf() time.Time
-	// Revision returns the revision up to which the cluster state holds every change. Changes by this node are
-	// applied at once, so the cluster state may hold some with a later revision.
-	Revision() uint64
 }
 
 // AgentRegistry handles agents' heartbeats.
--- a/internal/api/status.go
+++ b/internal/api/status.go
@@ -60,7 +60,7 @@
 	switch {
 	case job.Complete():
 		return wire.JobDone
-	case s.isCancellationConfirmed(job):
+	case s.clusterState.IsCancellationFinal(job):
 		return job.CancelledStatus()
 	case job.BoundCount > 0, job.OffloadedTo != nil:
 		return wire.JobRunning
@@ -68,18 +68,6 @@
 	return wire.JobPending
 }
 
-// isCancellationConfirmed reports whether a job is cancelled and may be reported as cancelled. With
-// CancelAfterRelease that is the case only once none of its tasks is bound: a node on the other side of a
-// network partition may still be renewing the lease of a bound task. A task in another record of the job may have been
-// bound just before the cancellation, so the cluster state must also be at least as new as the cancellation. The
-// caller must hold the cluster state's lock.
-func (s *Server) isCancellationConfirmed(job *clusterstate.Job) bool {
-	if !job.Cancelled() {
-		return false
-	}
-	return !job.CancelAfterRelease || job.FullyReleased() && s.barrier.Revision() >= job.ModRevision
-}
-
 // isCancellationUncertain reports whether a cancellation can be neither confirmed nor denied: a node of a version
 // before tuning.SchemaVersionConfirmedCancel may have confirmed it at once, or it may be the delayed write of a
 // process that has ended since. The uncertainty ends once no task of the job is bound. The caller must hold the
