scheduler: the end of a job asks the cluster state for its revision

membership.Member.HasAppliedRevision had one caller, which holds the lock of the cluster state and can ask it.

--- a/internal/clusterstate/cancellation.go
+++ b/internal/clusterstate/cancellation.go
@@ -7,7 +7,8 @@
 // another record of the job, or with the mark in one transaction. Every change of a task has the job's own record as a
 // condition, and a node that has read the mark records no task as done. So no task becomes done after the mark, and the
 // outcome is known once every change up to the mark has been applied. If the job is offloaded, its outcome is that in
-// the other cell. With CancelAfterRelease, no task may be bound either: it could still run.
+// the other cell. With CancelAfterRelease, no task may be bound either: a node on the other side of a network partition may
+// still be renewing its lease.
 //
 // The caller must hold the lock. Within a group of changes, the result holds only at its end.
 func (s *State) IsCancellationFinal(job *Job) bool {
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -87,7 +87,3 @@
 		m.reviewOwnership(ctx)
 	}
 }
-
-// HasAppliedRevision reports whether the cluster state contains all changes up to a
-// revision of the key-value store.
-func (m *Member) HasAppliedRevision(revision uint64) bool { return m.cache.Revision() >= revision }
--- a/internal/scheduler/jobend.go
+++ b/internal/scheduler/jobend.go
@@ -41,7 +41,7 @@
 	switch {
 	case job.Complete():
 		return kvstore.Transaction{Conditions: conditions, Ops: c.finalOps(job, wire.JobDone, job.DoneCount)}
-	case !job.Stopping() || !job.FullyReleased() || !c.membership.HasAppliedRevision(job.ModRevision):
+	case !job.Stopping() || !job.FullyReleased() || !c.cluster.HasAppliedRevision(job.ModRevision):
 		return kvstore.Transaction{}
 	case !job.Cancelled():
 		support, ownersUnchanged := c.cluster.CancelRequestSupport()
