simulation: a dependency that is done excuses no cancelled job

The checker allowed a job to be reported as cancelled without a request of its user if the user of any job before it had asked for a cancellation, also where the answer was done. Such a dependency now excuses nothing, and when a user is told that a job is done, its dependents that were reported as cancelled before are checked again.

Both new cases of TestCheckerDetectsEachViolation failed before (no violation found).

--- a/internal/simulation/checker_test.go
+++ b/internal/simulation/checker_test.go
@@ -181,7 +181,14 @@
 	}
 }
 
+// submitDoneDependency submits run-0, whose only task completes.
+func submitDoneDependency(checker *InvariantChecker) {
+	checker.JobSubmitted(wire.JobSpec{ID: "run-0", Team: "open", Kind: wire.KindArray, TaskCount: 1})
+	checker.TaskCompleted(record.TaskRef{JobID: "run-0", Index: 0})
+}
+
 func responseDefects() []defect {
+	dependsOnOther := func(s *wire.JobSpec) { s.Dependencies = []string{"run-0"} }
 	oneTask := func(s *wire.JobSpec) { s.TaskCount = 1 }
 	return []defect{
 		{RuleInvalidJobAccepted, "what can't run", nil, func(checker *InvariantChecker) {
@@ -206,6 +213,18 @@
 			checker.ResponseReceived(checkedJob, http.StatusOK, wire.JobPending)
 		}},
 		{RuleInvalidTransition, "an older answer from another controller", oneTask, staleResponseFromAnotherController},
+		{RuleInvalidTransition, "cancelled after a job that is done", dependsOnOther, func(checker *InvariantChecker) {
+			submitDoneDependency(checker)
+			checker.CancelRequested("run-0")
+			checker.ResponseReceived("run-0", http.StatusOK, wire.JobDone)
+			checker.ResponseReceived(checkedJob, http.StatusOK, wire.JobCancelled)
+		}},
+		{RuleInvalidTransition, "cancelled before a job that is done", dependsOnOther, func(checker *InvariantChecker) {
+			submitDoneDependency(checker)
+			checker.CancelRequested("run-0")
+			checker.ResponseReceived(checkedJob, http.StatusOK, wire.JobCancelled)
+			checker.ResponseReceived("run-0", http.StatusOK, wire.JobDone)
+		}},
 		{RuleInvalidTransition, "cancelled by nobody", nil, func(checker *InvariantChecker) {
 			checker.ResponseReceived(checkedJob, http.StatusOK, wire.JobCancelled)
 		}},
--- a/internal/simulation/invariants_responses.go
+++ b/internal/simulation/invariants_responses.go
@@ -104,6 +104,19 @@
 	}
 }
 
+// checkDependentsOfDone checks, when a user is told that a job is done, that none of its direct or indirect dependents was
+// reported as cancelled before without any other reason. Callers hold the lock.
+func (c *InvariantChecker) checkDependentsOfDone(done *jobHistory) {
+	for id, job := range c.jobs {
+		if job.finalState != wire.JobCancelled || job.cancelRequested || c.mayBeDependencyCancelled(id) ||
+			!c.dependsOn(id, done.spec.ID) {
+			continue
+		}
+		c.violation(RuleInvalidTransition, "%s: was cancelled without a request of its user, then %s is done",
+			id, done.spec.ID)
+	}
+}
+
 // recordState updates the job's history with a state that a user received. Callers hold the lock.
 func (c *InvariantChecker) recordState(job *jobHistory, state wire.JobState) {
 	if !job.accepted {
@@ -111,6 +124,9 @@
 	}
 	if isFinal(state) && job.finalState == "" {
 		job.finalState, job.finalStateAt = state, time.Now()
+		if state == wire.JobDone {
+			c.checkDependentsOfDone(job)
+		}
 	}
 	if (state == wire.JobCancelled || state == wire.JobFailed) && job.cancelledAt.IsZero() {
 		job.cancelledAt = time.Now()
--- a/internal/simulation/jobhistory.go
+++ b/internal/simulation/jobhistory.go
@@ -1,6 +1,7 @@
 package simulation
 
 import (
+	"slices"
 	"time"
 
 	"sableusher/internal/wire"
@@ -76,11 +77,12 @@
 }
 
 // mayBeDependencyCancelled reports whether any direct or indirect dependency of a job may end without being done: a
-// user has requested its cancellation, or a task of it has failed too often. Callers hold the lock.
+// user has requested its cancellation, or a task of it has failed too often. A dependency of which a user was told that
+// it is done does not excuse anything. Callers hold the lock.
 func (c *InvariantChecker) mayBeDependencyCancelled(jobID string) bool {
 	for _, dependencyID := range c.jobs[jobID].spec.Dependencies {
 		dependency := c.jobs[dependencyID]
-		if dependency == nil {
+		if dependency == nil || dependency.finalState == wire.JobDone {
 			continue
 		}
 		if dependency.cancelRequested || c.mayFail(dependency) || c.mayBeDependencyCancelled(dependencyID) {
@@ -90,6 +92,17 @@
 	return false
 }
 
+// dependsOn reports whether a job depends on another, directly or through others. Callers hold the lock.
+func (c *InvariantChecker) dependsOn(jobID, otherID string) bool {
+	job := c.jobs[jobID]
+	if job == nil {
+		return false
+	}
+	return slices.ContainsFunc(job.spec.Dependencies, func(dependencyID string) bool {
+		return dependencyID == otherID || c.dependsOn(dependencyID, otherID)
+	})
+}
+
 // retryLimit returns the maximum number of retries of each of a job's tasks; ok is false if there is no limit.
 func (c *InvariantChecker) retryLimit(spec *wire.JobSpec) (limit int, ok bool) {
 	if spec.MaxRetries != nil {
