--- a/internal/simulation/testregion_test.go
+++ b/internal/simulation/testregion_test.go
@@ -37,6 +37,7 @@
 	streamCPURegion          randomStream = 82
 	streamOneWayScenario     randomStream = 91
 	streamFetchScenario      randomStream = 92
+	streamPipelineScenario   randomStream = 93
 )
 
 // requestDrainTime is how long requests may be in flight after the end of a scenario.
