offload: the release of a guest job has all its records as conditions

What could happen: a draining cell returns a job to its home while a task of it runs, and the home starts the task again.

Cause: the release looks at the bindings that the cluster state shows and has the job's own record as its only condition. A binding in a further record does not change that record, so one that the cluster state lacks does not make the release fail. The mark of a recall would not do: nothing starts under it, also if a binding shows up after it.

Change: all records of the job are conditions of the release. It fails if a task was bound meanwhile and is tried again with the next message. A job with more records than a transaction has conditions is kept and runs here.

TestReleaseOfSeveralRecordsSeesAllBindings failed before (released although a task is bound).

--- a/internal/clusterstate/jobwrites.go
+++ b/internal/clusterstate/jobwrites.go
@@ -47,6 +47,16 @@
 	return conditions
 }
 
+// FurtherChunkConditions returns the conditions that no record of a further chunk has changed. While they hold, no task
+// is bound that the cluster state does not show.
+func (j *Job) FurtherChunkConditions() []wire.Condition {
+	var conditions []wire.Condition
+	for chunk := 1; chunk < j.ChunkCount(); chunk++ {
+		conditions = append(conditions, j.chunkCondition(chunk))
+	}
+	return conditions
+}
+
 // chunkCondition returns the condition that the record of a further chunk has not changed.
 func (j *Job) chunkCondition(chunk int) wire.Condition {
 	return wire.Condition{Key: j.ChunkKey(chunk), ModRevision: j.chunkModRevision(chunk)}
--- a/internal/offload/requests.go
+++ b/internal/offload/requests.go
@@ -9,6 +9,7 @@
 	"sableusher/internal/federation"
 	"sableusher/internal/kvstore"
 	"sableusher/internal/record"
+	"sableusher/internal/tuning"
 	"sableusher/internal/wire"
 )
 
@@ -126,11 +127,18 @@
 		job.DoneCount == 0
 }
 
-// release adds the deletion of a job's records, which returns the job to its home.
+// release adds the deletion of a job's records, which returns the job to its home. The conditions include all records
+// of the job, as a task may have been bound in a further one since. A job with too many records for that is kept.
 func (b *requestBatch) release(request *Request, job *clusterstate.Job) {
+	unchanged := job.FurtherChunkConditions()
+	maxConditions := b.committer.MaxTransactionOps() * tuning.TxnConditionsPerOp
+	if len(b.change.conditions)+len(unchanged) >= maxConditions {
+		return
+	}
 	if _, ok := b.view.transfers.Release(request.Number, job.BoundCount); !ok {
 		return
 	}
+	b.change.conditions = append(b.change.conditions, unchanged...)
 	jobKey := record.JobKey(request.Spec.ID)
 	b.change.add(wire.Condition{Key: jobKey, ModRevision: job.ModRevision}, kvstore.DeleteOp(jobKey))
 	b.change.ops = append(b.change.ops, job.DeleteFurtherChunkOps(b.maxOps-len(b.change.ops))...)
