--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -13,6 +13,7 @@
 	"stuck-record": {loweredSite, playStuckRecord},
 	"spread-gang":  {smallSite, playSpreadGang},
 	"replicas":     {smallSite, playReplicas},
+	"held-room":    {heldRoomSite, playHeldRoom},
 }
 
 // lowered are the limits that the state service has after it has lowered them.
--- a/review/standin2/gang.go
+++ b/review/standin2/gang.go
@@ -12,11 +12,11 @@
 	task   *workerTask
 }
 
-// members returns the tasks of a gang's attempt that are on machines. The caller holds the mutex.
+// members returns the tasks of a gang's attempt that are on machines which don't hang. The caller holds the mutex.
 func (w *world) members(j *job, number uint64) []memberOf {
 	var out []memberOf
 	for _, member := range w.tasksOnMachines() {
-		if member.task.job == j && member.task.number == number {
+		if member.task.job == j && member.task.number == number && !member.worker.hung {
 			out = append(out, member)
 		}
 	}
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -53,7 +53,7 @@
 	tasks                    map[attempt]*workerTask
 	images                   map[string]bool
 	changed                  bool
-	gone                     bool
+	gone, hung               bool
 }
 
 // startWorker starts the worker of a machine that is up.
@@ -72,7 +72,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /orders", k.serveOrders)
 	mux.HandleFunc("GET /show", k.serveShow)
-	k.server = &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second}
+	k.server = &http.Server{Handler: k.unlessHung(mux), ReadHeaderTimeout: 10 * time.Second}
 	w.mu.Lock()
 	m.address = k.address
 	w.workers[k.name] = k
@@ -82,6 +82,22 @@
 	go k.report()
 }
 
+// unlessHung keeps requests while the machine hangs and serves them afterwards, even if their sender has given up.
+func (k *worker) unlessHung(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for k.isHung() {
+			time.Sleep(20 * time.Millisecond)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (k *worker) isHung() bool {
+	k.world.mu.Lock()
+	defer k.world.mu.Unlock()
+	return k.hung && !k.gone
+}
+
 // end ends the worker with its machine. The caller holds the world's mutex.
 func (k *worker) end(reason string) {
 	if k.gone {
@@ -102,14 +118,14 @@
 	for {
 		time.Sleep(20 * time.Millisecond)
 		k.world.mu.Lock()
-		gone, changed := k.gone, k.changed
+		gone, hung, changed := k.gone, k.hung, k.changed
 		k.world.mu.Unlock()
 		if gone {
 			return
 		}
 		every := time.Duration(float64(k.world.reportEvery) * (0.85 + 0.3*rand.Float64()))
 		since := time.Since(lastSent)
-		if since < 500*time.Millisecond || !changed && since < every {
+		if hung || since < 500*time.Millisecond || !changed && since < every {
 			continue
 		}
 		lastSent = time.Now()
@@ -169,7 +185,7 @@
 	}
 	k.world.mu.Lock()
 	defer k.world.mu.Unlock()
-	if k.gone || session != k.session || response.FencingToken < k.token {
+	if k.gone || k.hung || session != k.session || response.FencingToken < k.token {
 		return nil // dropped; the worker stays with the node
 	}
 	k.raiseToken(response.FencingToken)
@@ -330,7 +346,7 @@
 
 // advance lets time pass on the machine. The caller holds the world's mutex.
 func (k *worker) advance(now time.Time) {
-	if k.gone {
+	if k.gone || k.hung {
 		return
 	}
 	if now.Sub(k.leaseFrom) > k.world.lease {
@@ -339,7 +355,7 @@
 		}
 		k.tasks = map[attempt]*workerTask{}
 		k.session++
-		k.sequence, k.leaseFrom, k.changed = 0, now, true
+		k.leaseFrom, k.changed = now, true
 		k.world.noteLocked("lease expired", "machine", k.name, "session", k.session)
 	}
 	for _, t := range slices.Collect(maps.Values(k.tasks)) {
@@ -389,3 +405,24 @@
 	t.state, t.started = wire.TaskRunning, now
 	t.until = now.Add(max(0, t.job.runTime-t.job.progress[t.task]))
 }
+
+// hangMachineOf lets a machine with a task of a job hang for 40 s.
+func (w *world) hangMachineOf(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, member := range w.tasksOnMachines() {
+		if k := member.worker; member.task.job.spec.ID == id {
+			k.hung = true
+			w.noteLocked("a machine hangs", "machine", k.name)
+			time.AfterFunc(40*time.Second, func() { w.resume(k) })
+			return
+		}
+	}
+}
+
+func (w *world) resume(k *worker) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	k.hung = false
+	w.noteLocked("the machine goes on", "machine", k.name, "gone", k.gone)
+}
