Review: a gang held back by a service blocks its team's other work (case 8)

Cause: 30 s after its submission a gang that its team's limit holds back makes the team count as at its limit, also where a service uses that limit for ever.

--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -13,6 +13,7 @@
 	"stuck-record": {loweredSite, playStuckRecord},
 	"spread-gang":  {smallSite, playSpreadGang},
 	"replicas":     {smallSite, playReplicas},
+	"blocked-team": {auctionSite, playBlockedTeam},
 	"held-room":    {heldRoomSite, playHeldRoom},
 }
 
