scheduler: log the zone limit of a spread job that waits

Need: a spread gang of 40 tasks that is never placed logs "no capacity for the whole gang". That reason doesn't tell a lack of machines from a limit on zones that is too low. Change: the debug line "job waits" has zone_limit and zone_tasks for jobs with spread.

--- a/internal/scheduler/waitreason.go
+++ b/internal/scheduler/waitreason.go
@@ -21,7 +21,8 @@
 )
 
 // logWaiting logs why a job waits, at most once per tuning.WaitReasonLogInterval for each job. The candidate is the
-// machine that the job could have used, if any.
+// machine that the job could have used, if any. For a spread job it also logs how many tasks may be in one zone, and how
+// many are there.
 func (c *cycle) logWaiting(job *clusterstate.Job, reason waitReason, candidate *binpack.MachineInfo) {
 	if !c.logsWaiting || !c.waitLog.shouldLog(job.Spec.ID, c.now) {
 		return
@@ -30,6 +31,12 @@
 	if candidate != nil {
 		machine = candidate.Machine.Name
 	}
-	c.log.Debug("job waits", "job_id", job.Spec.ID, "reason", string(reason), "machine", machine,
-		"count", job.PendingCount())
+	attributes := []any{
+		"job_id", job.Spec.ID, "reason", string(reason), "machine", machine, "count", job.PendingCount(),
+	}
+	if job.Spec.Spread {
+		zones := c.zoneConstraint(job, c.chunkToPlace(job))
+		attributes = append(attributes, "zone_limit", zones.MaxPerZone, "zone_tasks", zones.TasksByZone)
+	}
+	c.log.Debug("job waits", attributes...)
 }
