scheduler: place spread jobs under the zone limit of the whole job

What callers saw: a gang of 40 tasks with spread was accepted with 201 in a deployment of two zones and never started. Over 240 machines were rented for it and given back in 90 s. A gang of more than 128 tasks in two zones never started either, without lowered limits.

Cause: the tasks of a job are kept in several records. Nodes bind tasks of different records at the same time, so each record has its own limit of half of its tasks in one zone. The cycle took the limit of the job's first record with a pending task (for a gang, of record 0) for the limit of all tasks to be placed. With 32 tasks to a record, 16 of the 40 tasks could be in each zone. The same constraint was used for arrays, services, demand and preemption: - an array or a service whose first record could place no task (its zones full, its record full or being written) left the tasks of all its other records waiting beside free capacity; - tasks of the other records counted as unplaced although they fit, so machines were rented and tasks of lower priority stopped for them.

Evidence: with the zone limit in the log, each of 42 lines about the gang says zone_limit=16, with no task placed, where half of the gang is 20. On the version before, the new tests fail: TestSpreadGangStartsWithHalfInEachZone: 0 of 40, 0 of 33, 0 of 130 and 0 of 301 tasks bound TestSpreadTasksOfAllRecordsArePlaced: 64 of 129 tasks bound, 65 fit TestNoPreemptionForTasksOfOtherRecords: each of five nodes stops tasks on 1 or 2 machines beside free capacity TestSpreadGangIsPlacedWherePossible: both tasks of a record in one zone

Change: zoneConstraint sums up what the limits of all records leave in each zone, and the picked machines are then divided among the records (spread.go). Each record still keeps its own limit, so nodes that bind tasks of different records at the same time still can't exceed the limit of the job, in a mix of versions too. If no task is bound, a division is always found: each record takes first from the zone whose machines exceed the room in later records by most. A task on a machine without a record counts in every zone instead of holding up the whole job. The log line "job waits" has zone_room in place of zone_limit and zone_tasks.

The new tests and the whole test suite without the known failures pass.

--- a/internal/scheduler/bind.go
+++ b/internal/scheduler/bind.go
@@ -15,46 +15,97 @@
 
 // bindToOwnMachines is like bindTasks, but uses only those of the picked machines that this node owns, and charges each
 // binding to the shard of its machine.
-func (c *cycle) bindToOwnMachines(queued *queuedJob, chunk int, picks []*binpack.MachineInfo) {
+func (c *cycle) bindToOwnMachines(queued *queuedJob, picks []*binpack.MachineInfo) {
 	picks = slices.DeleteFunc(picks, func(candidate *binpack.MachineInfo) bool { return !candidate.Owned })
-	c.bindTasks(queued, chunk, picks, chargeMachineShard)
+	c.bindTasks(queued, picks, chargeMachineShard)
 }
 
-// bindTasks binds pending tasks of a job to the picked machines, one task each. It binds tasks of firstChunk and of the
-// chunks after it, or only of firstChunk if the tasks of each chunk must be spread over zones. The bindings are charged
-// to the quota grant of the charged shard, or to that of each machine's own shard for chargeMachineShard.
-func (c *cycle) bindTasks(queued *queuedJob, firstChunk int, picks []*binpack.MachineInfo, charged int) {
-	job := queued.job
-	if queued.deferred {
+// bindTasks binds pending tasks of a job to the picked machines, one task each. The bindings are charged to the quota
+// grant of the charged shard, or to that of each machine's own shard for chargeMachineShard.
+func (c *cycle) bindTasks(queued *queuedJob, picks []*binpack.MachineInfo, charged int) {
+	if queued.deferred || len(picks) == 0 {
 		return
 	}
-	start, end := job.TaskRange(firstChunk)
-	if !job.Spec.Spread {
-		end = job.Spec.TaskCount
+	binder := taskBinder{cycle: c, queued: queued, charged: charged, examinable: tuning.TasksPerJobPerCycle}
+	if queued.job.Spec.Spread {
+		binder.bindSpread(picks)
+		return
 	}
-	examined := 0
-	for taskIndex := start; taskIndex < end && len(picks) > 0 && examined < tuning.TasksPerJobPerCycle; taskIndex++ {
-		chunk := job.ChunkOf(taskIndex)
-		firstOfChunk, endOfChunk := job.TaskRange(chunk)
-		if taskIndex == firstOfChunk && !c.chunkBindable(job, chunk) {
-			taskIndex = endOfChunk - 1
-			continue
+	for chunk := range queued.job.ChunkCount() {
+		rest, ok := binder.bindChunk(chunk, picks)
+		if !ok || len(rest) == 0 {
+			return
 		}
-		task := c.taskState(job, taskIndex)
-		if task.State != record.TaskPending || c.inRetryBackoff(job, taskIndex) {
-			continue
+		picks = rest
+	}
+}
+
+// taskBinder binds tasks of a job to picked machines in one cycle.
+type taskBinder struct {
+	*cycle
+	queued     *queuedJob
+	charged    int
+	examinable int // number of pending tasks that may still be examined
+}
+
+// bindSpread binds pending tasks of a spread job to the picked machines, in each chunk within the chunk's limits on
+// zones.
+func (b *taskBinder) bindSpread(picks []*binpack.MachineInfo) {
+	spread := b.spreadOf(b.queued.job)
+	spread.chunks = slices.DeleteFunc(spread.chunks, func(chunk spreadChunk) bool {
+		return !b.hasSpace(chunk.number, picks[0].Machine.Name)
+	})
+	picksByChunk := spread.distribute(picks)
+	for i := range spread.chunks {
+		chunk := spread.chunks[i].number
+		if _, ok := b.bindChunk(chunk, picksByChunk[chunk]); !ok {
+			return
 		}
-		if c.chunkFull(job, chunk, 1, picks[0].Machine.Name) {
-			c.logWaiting(job, waitRecordFull, nil)
-			taskIndex = endOfChunk - 1
+	}
+}
+
+// hasSpace reports whether a further task of a chunk can be bound to a machine now.
+func (b *taskBinder) hasSpace(chunk int, machine string) bool {
+	job := b.queued.job
+	if !b.chunkBindable(job, chunk) {
+		return false
+	}
+	if b.chunkFull(job, chunk, 1, machine) {
+		b.logWaiting(job, waitRecordFull, nil)
+		return false
+	}
+	return true
+}
+
+// bindChunk binds pending tasks of a chunk to picked machines, one task each, and returns the machines that are left.
+// It returns false if no more tasks of the job can be bound in this cycle.
+func (b *taskBinder) bindChunk(
+	chunk int, picks []*binpack.MachineInfo,
+) (rest []*binpack.MachineInfo, ok bool) {
+	job := b.queued.job
+	if !b.chunkBindable(job, chunk) {
+		return picks, true
+	}
+	first, end := job.TaskRange(chunk)
+	for taskIndex := first; taskIndex < end && len(picks) > 0; taskIndex++ {
+		task := b.taskState(job, taskIndex)
+		if task.State != record.TaskPending || b.inRetryBackoff(job, taskIndex) {
 			continue
 		}
-		examined++
-		if !c.bindTask(queued, newTaskStart(task, job.Spec.ID, task.Attempt+1, picks[0], charged)) {
-			return
+		if b.examinable == 0 {
+			return picks, false
+		}
+		if b.chunkFull(job, chunk, 1, picks[0].Machine.Name) {
+			b.logWaiting(job, waitRecordFull, nil)
+			return picks, true
+		}
+		b.examinable--
+		if !b.bindTask(b.queued, newTaskStart(task, job.Spec.ID, task.Attempt+1, picks[0], b.charged)) {
+			return picks, false
 		}
 		picks = picks[1:]
 	}
+	return picks, true
 }
 
 // chunkBindable reports whether a chunk has a pending task and no change of its record is in flight.
--- a/internal/scheduler/filter.go
+++ b/internal/scheduler/filter.go
@@ -86,31 +86,21 @@
 	return true
 }
 
-// chunkToPlace returns the chunk of a job whose tasks are placed in this cycle. If the tasks of each chunk must be
-// spread over zones, it is the first chunk with a pending task.
-func (c *cycle) chunkToPlace(job *clusterstate.Job) int {
-	if !job.Spec.Spread {
-		return 0
-	}
-	for chunk := range job.ChunkCount() {
-		if !job.ChunkFullyAssigned(chunk) {
-			return chunk
-		}
-	}
-	return 0
-}
-
-// zoneConstraint returns the zones in which the tasks of a chunk may be placed, given the job's requirements and the
+// zoneConstraint returns the zones in which pending tasks of a job may be placed, given the job's requirements and the
 // zones of its bound tasks.
-func (c *cycle) zoneConstraint(job *clusterstate.Job, chunk int) binpack.ZoneConstraint {
+func (c *cycle) zoneConstraint(job *clusterstate.Job) binpack.ZoneConstraint {
 	zones := binpack.ZoneConstraint{TasksByZone: map[string]int{}, PlacementKnown: true, MaxPerZone: math.MaxInt}
 	if job.Spec.Spread {
-		lo, hi := job.TaskRange(chunk)
-		zones.MaxPerZone = (hi - lo + 1) / 2
+		zones = c.spreadOf(job).constraint()
 	}
-	if !job.Spec.Spread && !job.Spec.SameZone {
-		return zones
+	if job.Spec.SameZone {
+		c.pinZone(job, &zones)
 	}
+	return zones
+}
+
+// pinZone restricts a constraint to the zone of a job's bound tasks, or allows no zone if that of a task is unknown.
+func (c *cycle) pinZone(job *clusterstate.Job, zones *binpack.ZoneConstraint) {
 	for taskIndex := range job.Spec.TaskCount {
 		task := c.taskState(job, taskIndex)
 		if task.State != record.TaskBound {
@@ -119,16 +109,10 @@
 		machine := c.cluster.Machines[task.Machine]
 		if machine == nil {
 			zones.PlacementKnown = false
-			return zones
-		}
-		if job.Spec.SameZone {
-			zones.PinnedZone = machine.Zone
-		}
-		if job.ChunkOf(taskIndex) == chunk {
-			zones.TasksByZone[machine.Zone]++
+			return
 		}
+		zones.PinnedZone = machine.Zone
 	}
-	return zones
 }
 
 // inTrustedZones returns the candidates in zones that are trusted with services. If there is none, it returns all
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -73,11 +73,11 @@
 	})
 }
 
-// allocateGang allocates capacity for all of a gang's tasks. It returns nil, and allocates nothing, if they don't all
-// fit. It prefers machines that hold the gang's image, then machines in its home shard, where the owners of other
-// shards bind only gangs and services.
+// allocateGang allocates capacity for all of a gang's pending tasks and returns the machines in the order of the tasks.
+// It returns nil, and allocates nothing, if they don't all fit. It prefers machines that hold the gang's image, then
+// machines in its home shard, where the owners of other shards bind only gangs and services.
 func (c *cycle) allocateGang(queued *queuedJob) []*binpack.MachineInfo {
-	zones := c.zoneConstraint(queued.job, 0)
+	zones := c.zoneConstraint(queued.job)
 	candidates := c.inventory.FittingMachines(&queued.Request)
 	inHomeShard := func(candidate *binpack.MachineInfo) bool { return candidate.Machine.Shard == queued.homeShard }
 	hasImage := func(candidate *binpack.MachineInfo) bool {
@@ -89,13 +89,37 @@
 		inHomeShard,
 		(*binpack.MachineInfo).SessionKnown,
 	} {
-		if picks := c.inventory.AllocateGang(&queued.Request, candidates, zones, accept); picks != nil {
-			return picks
+		picks := c.inventory.AllocateGang(&queued.Request, candidates, zones, accept)
+		if picks == nil {
+			continue
 		}
+		if ordered := c.inTaskOrder(queued.job, picks); ordered != nil {
+			return ordered
+		}
+		c.inventory.Release(&queued.Request, picks)
 	}
 	return nil
 }
 
+// inTaskOrder returns the machines picked for all of a gang's pending tasks in the order of the tasks. If the gang is
+// spread, each of its chunks gets machines within its own limit. It returns nil if that is not possible.
+func (c *cycle) inTaskOrder(job *clusterstate.Job, picks []*binpack.MachineInfo) []*binpack.MachineInfo {
+	if !job.Spec.Spread {
+		return picks
+	}
+	spread := c.spreadOf(job)
+	picksByChunk := spread.distribute(picks)
+	ordered := make([]*binpack.MachineInfo, 0, len(picks))
+	for i := range spread.chunks {
+		chunk := &spread.chunks[i]
+		if len(picksByChunk[chunk.number]) < chunk.pending {
+			return nil
+		}
+		ordered = append(ordered, picksByChunk[chunk.number]...)
+	}
+	return ordered
+}
+
 // gangBindable reports whether a whole gang can be bound in this cycle: the limit of bindings per cycle allows it, the
 // gang's records have space for the bindings and the grant of its home shard covers them.
 func (c *cycle) gangBindable(queued *queuedJob, start gangStart, picks []*binpack.MachineInfo) bool {
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -59,18 +59,17 @@
 	if len(candidates) == 0 {
 		return
 	}
-	chunk := c.chunkToPlace(job)
-	zones := c.zoneConstraint(job, chunk)
+	zones := c.zoneConstraint(job)
 	picks := c.allocateAcrossZones(queued, candidates, &zones, accept)
 	owned := c.shards.owns(queued.homeShard)
 	switch {
 	case !owned && set == allMachines && len(picks) > 0 && c.homeOwnerTimedOut(queued):
 		c.inventory.Release(&queued.Request, picks)
-		c.bindToOwnMachines(queued, chunk, c.allocateOwned(queued, chunk))
+		c.bindToOwnMachines(queued, c.allocateOwned(queued))
 	case owned && isService:
-		c.bindTasks(queued, chunk, picks, queued.homeShard)
+		c.bindTasks(queued, picks, queued.homeShard)
 	default:
-		c.bindToOwnMachines(queued, chunk, picks)
+		c.bindToOwnMachines(queued, picks)
 	}
 }
 
@@ -100,8 +99,8 @@
 }
 
 // allocateOwned allocates capacity for a job's tasks on this node's machines.
-func (c *cycle) allocateOwned(queued *queuedJob, chunk int) []*binpack.MachineInfo {
-	zones := c.zoneConstraint(queued.job, chunk)
+func (c *cycle) allocateOwned(queued *queuedJob) []*binpack.MachineInfo {
+	zones := c.zoneConstraint(queued.job)
 	candidates := c.inventory.FittingMachines(&queued.Request)
 	return c.inventory.Allocate(&queued.Request, candidates, &zones, func(candidate *binpack.MachineInfo) bool {
 		return candidate.Owned
@@ -120,7 +119,7 @@
 		return c.inventory.Allocate(&queued.Request, candidates, zones, accept)
 	}
 	preferred := binpack.ZoneConstraint{
-		TasksByZone: map[string]int{}, PlacementKnown: true, MaxPerZone: (spec.TaskCount + 1) / 2,
+		TasksByZone: map[string]int{}, PlacementKnown: true, MaxPerZone: spreadLimit(spec.TaskCount),
 	}
 	for taskIndex := range spec.TaskCount {
 		task := c.taskState(job, taskIndex)
@@ -140,9 +139,8 @@
 	if queued.Remaining == 0 {
 		return
 	}
-	chunk := c.chunkToPlace(job)
-	zones := c.zoneConstraint(job, chunk)
-	c.allocateAnywhere(queued, chunk, &zones)
+	zones := c.zoneConstraint(job)
+	c.allocateAnywhere(queued, &zones)
 	if queued.Remaining == 0 {
 		return
 	}
@@ -164,7 +162,7 @@
 // node's machines if the job has high priority or the owner of its home shard has not placed it in time. Other tasks
 // with capacity are only subtracted from the remaining ones. For a gang it binds nothing, and only keeps capacity in
 // all shards from being used for other jobs.
-func (c *cycle) allocateAnywhere(queued *queuedJob, chunk int, zones *binpack.ZoneConstraint) {
+func (c *cycle) allocateAnywhere(queued *queuedJob, zones *binpack.ZoneConstraint) {
 	job := queued.job
 	candidates := c.inventory.FittingMachines(&queued.Request)
 	if job.Spec.Kind == wire.KindGang {
@@ -178,7 +176,7 @@
 		return candidate.Machine.Shard != queued.homeShard
 	})
 	if len(picks) > 0 && (isHighPriority(queued.rank) || c.homeOwnerTimedOut(queued)) {
-		c.bindToOwnMachines(queued, chunk, picks)
+		c.bindToOwnMachines(queued, picks)
 	}
 }
 
--- /dev/null
+++ b/internal/scheduler/spread_test.go
@@ -0,0 +1,206 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"sableusher/internal/clusterstate"
+	"sableusher/internal/record"
+	"sableusher/internal/tuning"
+	"sableusher/internal/wire"
+)
+
+// tasksPerMachine is how many tasks of spreadSpec fit on a machine.
+const tasksPerMachine = 4
+
+// spreadSpec returns a spread job whose tasks use a quarter of a machine each.
+func spreadSpec(kind wire.JobKind, priority wire.Priority, tasks int) wire.JobSpec {
+	return wire.JobSpec{
+		ID: "run-7", Team: "t", Class: "c", Kind: kind, Priority: priority, TaskCount: tasks, Spread: true,
+		CPUs: 6, GPUs: 1, MemoryGB: 48, Image: "s",
+	}
+}
+
+// drawChunkWidth draws the number of tasks in each chunk of a job; 0 stands for fixed chunks.
+func drawChunkWidth(t *rapid.T) int {
+	return rapid.SampledFrom([]int{0, 16, 32, 64, 128}).Draw(t, "width")
+}
+
+// putSpreadJob adds a job whose chunks have the given width.
+func (f *testCluster) putSpreadJob(spec wire.JobSpec, chunkWidth int) {
+	f.put(record.JobKey(spec.ID), record.Job{
+		Spec: spec, SubmittedAtMs: testNow.UnixMilli(), ChunkWidth: chunkWidth,
+	})
+}
+
+// addMachinesInZone adds machines in one of the testZones. Their names begin after those of other zones.
+func (f *testCluster) addMachinesInZone(zone, count int) {
+	const maxMachinesInZone = 1000
+	for i := range count {
+		f.addMachine((zone*maxMachinesInZone+i)*len(testZones)+zone, false)
+	}
+}
+
+// apply applies the changes of a cycle to the cluster state.
+func (f *testCluster) apply(c *cycle) {
+	f.revision++
+	f.cluster.BeginUpdate()
+	defer f.cluster.EndUpdate()
+	for _, change := range c.outgoing {
+		for _, op := range change.transaction.Ops {
+			f.cluster.Put(op.PutKey, op.Value, f.revision)
+		}
+	}
+}
+
+// scheduleUntilSettled runs cycles of all nodes until none of them has bound a task for so long that each has had its
+// turn to place tasks outside of their home shard.
+func (f *testCluster) scheduleUntilSettled() {
+	idleRounds := 0
+	for idleRounds <= testShards+1 {
+		idleRounds++
+		for node := range testShards {
+			c, bindings := f.runCycle(node)
+			f.apply(c)
+			if len(bindings) > 0 {
+				idleRounds = 0
+			}
+		}
+		testNow = testNow.Add(tuning.HomeShardGracePeriod)
+	}
+}
+
+// tasksByZone returns the number of a job's bound tasks in each zone, in all its chunks and in each chunk.
+func (f *testCluster) tasksByZone(job *clusterstate.Job) (inJob map[string]int, byChunk []map[string]int) {
+	inJob, byChunk = map[string]int{}, make([]map[string]int, job.ChunkCount())
+	job.ForEachStartedTask(func(task record.Task) {
+		zone, chunk := f.cluster.Machines[task.Machine].Zone, job.ChunkOf(task.Index)
+		if byChunk[chunk] == nil {
+			byChunk[chunk] = map[string]int{}
+		}
+		inJob[zone]++
+		byChunk[chunk][zone]++
+	})
+	return inJob, byChunk
+}
+
+// checkSpread checks that at most half of a job's tasks, rounded up, is bound in any zone, and at most half of each
+// chunk's, because nodes may bind tasks of different chunks at the same time.
+func checkSpread(t *rapid.T, fixture *testCluster, job *clusterstate.Job) {
+	t.Helper()
+	inJob, byChunk := fixture.tasksByZone(job)
+	for zone, tasks := range inJob {
+		if tasks > (job.Spec.TaskCount+1)/2 {
+			t.Errorf("%d of %d tasks in zone %s", tasks, job.Spec.TaskCount, zone)
+		}
+	}
+	for chunk, inChunk := range byChunk {
+		first, end := job.TaskRange(chunk)
+		for zone, tasks := range inChunk {
+			if tasks > (end-first+1)/2 {
+				t.Errorf("%d of %d tasks of chunk %d in zone %s", tasks, end-first, chunk, zone)
+			}
+		}
+	}
+}
+
+// drawSpreadCapacity adds machines in two or three zones and returns how many of a number of tasks of a spread job fit.
+func drawSpreadCapacity(t *rapid.T, fixture *testCluster, tasks int) int {
+	fits := 0
+	for zone := range rapid.IntRange(2, len(testZones)).Draw(t, "zones") {
+		machines := rapid.IntRange(0, tasks/tasksPerMachine+1).Draw(t, "machines")
+		fixture.addMachinesInZone(zone, machines)
+		fits += min(machines*tasksPerMachine, (tasks+1)/2)
+	}
+	return min(fits, tasks)
+}
+
+// TestSpreadGangStartsWithHalfInEachZone guards against a spread gang that never starts in two zones because it is
+// placed under the zone limit of one of its records.
+func TestSpreadGangStartsWithHalfInEachZone(t *testing.T) {
+	for _, gang := range []struct{ tasks, chunkWidth int }{
+		{tasks: 40, chunkWidth: 32}, {tasks: 33, chunkWidth: 16}, {tasks: 130}, {tasks: 301, chunkWidth: 128},
+	} {
+		fixture := newTestCluster(t)
+		for zone := range 2 {
+			fixture.addMachinesInZone(zone, gang.tasks/2/tasksPerMachine+1)
+		}
+		spec := spreadSpec(wire.KindGang, wire.PriorityHigh, gang.tasks)
+		fixture.putSpreadJob(spec, gang.chunkWidth)
+		fixture.scheduleUntilSettled()
+		if bound := fixture.cluster.Jobs[spec.ID].BoundCount; bound != gang.tasks {
+			t.Errorf("%d of %d tasks bound, chunks of %d", bound, gang.tasks, gang.chunkWidth)
+		}
+	}
+}
+
+// TestSpreadGangIsPlacedWherePossible checks that a spread gang is bound as a whole if the free capacity allows it, in
+// all its records within their zone limits, and not at all otherwise.
+func TestSpreadGangIsPlacedWherePossible(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		fixture := newTestCluster(nil)
+		tasks := rapid.IntRange(2, 300).Draw(t, "tasks")
+		spec := spreadSpec(wire.KindGang, wire.PriorityHigh, tasks)
+		fits := drawSpreadCapacity(t, fixture, tasks)
+		fixture.putSpreadJob(spec, drawChunkWidth(t))
+		fixture.scheduleUntilSettled()
+		job, want := fixture.cluster.Jobs[spec.ID], 0
+		if fits == tasks {
+			want = tasks
+		}
+		if job.BoundCount != want {
+			t.Errorf("%d of %d tasks bound, want %d: %d fit", job.BoundCount, tasks, want, fits)
+		}
+		checkSpread(t, fixture, job)
+	})
+}
+
+// TestSpreadTasksOfAllRecordsArePlaced guards against tasks of an array or a service that wait beside free capacity
+// because the tasks of one of the job's records can't be placed.
+func TestSpreadTasksOfAllRecordsArePlaced(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		fixture := newTestCluster(nil)
+		tasks := rapid.IntRange(2, 300).Draw(t, "tasks")
+		spec := spreadSpec(wire.KindArray, wire.PriorityNormal, tasks)
+		if rapid.Bool().Draw(t, "service") {
+			spec = spreadSpec(wire.KindService, wire.PriorityProduction, tasks)
+		}
+		fits := drawSpreadCapacity(t, fixture, tasks)
+		fixture.putSpreadJob(spec, drawChunkWidth(t))
+		fixture.scheduleUntilSettled()
+		job := fixture.cluster.Jobs[spec.ID]
+		if job.BoundCount != fits {
+			t.Errorf("%d of %d tasks bound, %d fit", job.BoundCount, tasks, fits)
+		}
+		checkSpread(t, fixture, job)
+	})
+}
+
+// TestNoPreemptionForTasksOfOtherRecords guards against tasks that are stopped for replicas that fit elsewhere, because
+// replicas of one record of a spread service were placed and those of its other records were not.
+func TestNoPreemptionForTasksOfOtherRecords(t *testing.T) {
+	for _, width := range []int{16, 32, 64, 128} {
+		fixture := newTestCluster(t)
+		tasks := 2*width + 8
+		for zone := range 2 {
+			fixture.addMachinesInZone(zone, tasks)
+		}
+		const fullZone, fullMachines = 2, 20
+		fixture.addMachinesInZone(fullZone, fullMachines)
+		for i := range fullMachines {
+			machine := fmt.Sprintf("vm-%06d", (fullZone*1000+i)*len(testZones)+fullZone)
+			spec := arraySpec(1000+i, 1)
+			spec.CPUs, spec.GPUs, spec.MemoryGB, spec.Priority = 30, 4, 200, wire.PriorityLow
+			fixture.addJob(spec, boundTask(0, machine))
+		}
+		fixture.putSpreadJob(spreadSpec(wire.KindService, wire.PriorityProduction, tasks), width)
+		for node := range testShards {
+			if c, _ := fixture.runCycle(node); c.preempting.machines > 0 {
+				t.Errorf("width %d: node %d stops tasks on %d machines beside free capacity", width, node,
+					c.preempting.machines)
+			}
+		}
+	}
+}
--- a/internal/scheduler/waitreason.go
+++ b/internal/scheduler/waitreason.go
@@ -21,8 +21,7 @@
 )
 
 // logWaiting logs why a job waits, at most once per tuning.WaitReasonLogInterval for each job. The candidate is the
-// machine that the job could have used, if any. For a spread job it also logs how many tasks may be in one zone, and how
-// many are there.
+// machine that the job could have used, if any. For a spread job it also logs how many tasks each zone may take.
 func (c *cycle) logWaiting(job *clusterstate.Job, reason waitReason, candidate *binpack.MachineInfo) {
 	if !c.logsWaiting || !c.waitLog.shouldLog(job.Spec.ID, c.now) {
 		return
@@ -35,8 +34,18 @@
 		"job_id", job.Spec.ID, "reason", string(reason), "machine", machine, "count", job.PendingCount(),
 	}
 	if job.Spec.Spread {
-		zones := c.zoneConstraint(job, c.chunkToPlace(job))
-		attributes = append(attributes, "zone_limit", zones.MaxPerZone, "zone_tasks", zones.TasksByZone)
+		attributes = append(attributes, "zone_room", c.zoneRoom(job))
 	}
 	c.log.Debug("job waits", attributes...)
 }
+
+// zoneRoom returns how many of a spread job's pending tasks may be placed in each zone.
+func (c *cycle) zoneRoom(job *clusterstate.Job) map[string]int {
+	spread, room := c.spreadOf(job), map[string]int{}
+	for _, machineType := range c.cluster.Catalog.Types {
+		for _, zone := range machineType.Zones {
+			room[zone] = spread.room(zone)
+		}
+	}
+	return room
+}
