autoscaler: rent for a spread job where its tasks may start

With 2 of 3 tasks placed in one zone, which is all that it may hold, a machine for the third was planned in that same zone if it was the cheaper or emptier one, where the task may not start; the next plan was the same.

Cause: the demand of a spread job was a number of tasks. The plan divided that number among the zones, without the tasks that were placed already. The number itself was computed without them too, if the cycle had allocated capacity for tasks that it did not bind, because another node does or the cycle's limit was reached: they counted in no zone, so tasks beyond the limit of a zone counted as placed.

Change: a cycle keeps a job's zone constraint from one placement to the next (zonesLeft), and the unmet demand of a spread job carries what it leaves in each zone. The plan takes zones by it.

--- a/internal/autoscaler/scaleoutplan.go
+++ b/internal/autoscaler/scaleoutplan.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"sableusher/internal/binpack"
 	"sableusher/internal/record"
 	"sableusher/internal/scheduler"
 	"sableusher/internal/tuning"
@@ -89,8 +90,8 @@
 	return &p.machines[len(p.machines)-1]
 }
 
-// addGroup plans machines for the tasks of a group that did not fit. The tasks of a spread job are divided
-// so that no zone gets more than half of them, rounded up.
+// addGroup plans machines for the tasks of a group that did not fit. The tasks of a spread job are planned in
+// zones that may take them beside the job's other tasks.
 func (p *scaleOutPlan) addGroup(group scheduler.UnplacedGroup) {
 	spec := group.Spec
 	target := rentalTarget{zone: spec.Zone, tasks: group.Count}
@@ -99,20 +100,21 @@
 	}
 	isUrgent := group.Rank <= wire.PriorityHigh.Rank()
 	hasWaitedLong := p.now.Sub(group.ReadySince) > tuning.ScaleOutOverrideAfter
-	tasksByZone := map[string]int{}
 	packing := groupPacking{
-		plan:        p,
-		need:        record.TaskResources(spec),
-		tasksByZone: tasksByZone,
+		plan: p,
+		need: record.TaskResources(spec),
 		request: machineRequest{
 			spec:     spec,
 			zone:     target.zone,
 			required: isUrgent || hasWaitedLong,
-			allowed: func(kind machineKind) bool {
-				return !spec.Spread || tasksByZone[kind.zone] < (target.tasks+1)/2
-			},
+			allowed:  anyKind,
 		},
 	}
+	if group.SpreadZones != nil {
+		zones := group.SpreadZones.Clone()
+		packing.spread = &zones
+		packing.request.allowed = func(kind machineKind) bool { return zones.Allows(kind.zone) }
+	}
 	for range target.tasks {
 		if !packing.placeTask() {
 			return
@@ -122,11 +124,12 @@
 
 // groupPacking packs the tasks of one group into planned machines.
 type groupPacking struct {
-	plan        *scaleOutPlan
-	request     machineRequest
-	need        record.Resources
-	tasksByZone map[string]int
-	next        int // index of the first planned machine to try; the group's identical tasks fit on none before it
+	plan    *scaleOutPlan
+	request machineRequest
+	need    record.Resources
+	// spread is the zones that may still take tasks. It is nil if the job is not spread.
+	spread *binpack.ZoneConstraint
+	next   int // index of the first planned machine to try; the group's identical tasks fit on none before it
 }
 
 // placeTask places a task on a planned machine, or plans a further machine for it. It returns false if no
@@ -140,7 +143,9 @@
 		return false
 	}
 	machine.free = machine.free.Minus(g.need)
-	g.tasksByZone[machine.zone]++
+	if g.spread != nil {
+		g.spread.TasksByZone[machine.zone]++
+	}
 	if g.request.spec.SameZone {
 		g.request.zone = machine.zone
 	}
--- a/internal/autoscaler/scaleoutplan_test.go
+++ b/internal/autoscaler/scaleoutplan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -49,12 +50,16 @@
 			if !spec.AllowSpot {
 				onDemandGPUs += specGPUs
 			}
-			demand.Groups = append(demand.Groups, scheduler.UnplacedGroup{
+			group := scheduler.UnplacedGroup{
 				Spec:       spec,
 				Count:      spec.TaskCount,
 				Zone:       rapid.SampledFrom([]string{"", "west"}).Draw(t, "zone"),
 				ReadySince: time.Now(),
-			})
+			}
+			if spec.Spread {
+				group.SpreadZones = spreadZones(spec.TaskCount, nil)
+			}
+			demand.Groups = append(demand.Groups, group)
 		}
 		planned := a.planScaleOut(demand)
 		plannedGPUs, plannedOnDemandGPUs := 0, 0
@@ -74,6 +79,50 @@
 	})
 }
 
+// spreadZones returns the zones that may take tasks of a spread job beside those that are placed in each zone.
+func spreadZones(tasks int, placed map[string]int) *binpack.ZoneConstraint {
+	zones := &binpack.ZoneConstraint{
+		TasksByZone: map[string]int{}, MaxPerZone: (tasks + 1) / 2, PlacementKnown: true,
+	}
+	maps.Copy(zones.TasksByZone, placed)
+	return zones
+}
+
+// TestSpreadJobIsRentedForWhereItMayStart checks that machines for the rest of a spread job are rented in zones that may
+// take it beside the job's other tasks. The test guards against machines that are rented again and again in a zone
+// that already holds half of the job.
+func TestSpreadJobIsRentedForWhereItMayStart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		spec := newTestGang(rapid.IntRange(2, 60).Draw(t, "tasks"))
+		spec.SameZone, spec.Spread = false, true
+		half := (spec.TaskCount + 1) / 2
+		placed := map[string]int{}
+		count := spec.TaskCount
+		for _, zone := range testZones {
+			placed[zone] = rapid.IntRange(0, min(half, count)).Draw(t, "placed")
+			count -= placed[zone]
+		}
+		group := scheduler.UnplacedGroup{
+			Spec: spec, Count: count, ReadySince: time.Now(), SpreadZones: spreadZones(spec.TaskCount, placed),
+		}
+		a := newTestAutoscaler(nil)
+		a.operator.MinMachines = 0
+		planned := a.planScaleOut(gangDemand(group))
+		inZone := maps.Clone(placed)
+		for _, machine := range planned {
+			inZone[machine.zone]++
+		}
+		for zone, tasks := range inZone {
+			if tasks > half {
+				t.Errorf("%d of %d tasks in %s with the planned machines", tasks, spec.TaskCount, zone)
+			}
+		}
+		if len(planned) != count {
+			t.Errorf("%d machines planned for %d tasks", len(planned), count)
+		}
+	})
+}
+
 // TestGangMovesFromRefusedZone checks that capacity for a whole gang is rented in another zone if the
 // cloud refuses further machines in the gang's zone.
 func TestGangMovesFromRefusedZone(t *testing.T) {
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -15,11 +15,14 @@
 
 // UnplacedGroup is a number of identical tasks of a job for which a cycle found no capacity.
 type UnplacedGroup struct {
-	Spec       *wire.JobSpec
-	Count      int
-	Zone       string    // the zone for the job's tasks, if they must all be in one zone and it is chosen
-	Rank       int       // of the job's priority, or of the higher priority of a job that depends on it
-	ReadySince time.Time // when the job could first start
+	Spec  *wire.JobSpec
+	Count int
+	Zone  string // the zone for the job's tasks, if they must all be in one zone and it is chosen
+	// SpreadZones says for a spread job where the tasks may be placed beside the job's other tasks. Those that found
+	// capacity in this cycle count too.
+	SpreadZones *binpack.ZoneConstraint
+	Rank        int       // of the job's priority, or of the higher priority of a job that depends on it
+	ReadySince  time.Time // when the job could first start
 }
 
 // UnmetDemand describes the tasks that a cycle could not place, and the capacity that it left unused.
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -59,12 +59,12 @@
 	if len(candidates) == 0 {
 		return
 	}
-	zones := c.zoneConstraint(job)
-	picks := c.allocateAcrossZones(queued, candidates, &zones, accept)
+	picks := c.allocateAcrossZones(queued, candidates, c.zonesLeft(queued), accept)
 	owned := c.shards.owns(queued.homeShard)
 	switch {
 	case !owned && set == allMachines && len(picks) > 0 && c.homeOwnerTimedOut(queued):
 		c.inventory.Release(&queued.Request, picks)
+		queued.zones = nil // they no longer contain the released tasks
 		c.bindToOwnMachines(queued, c.allocateOwned(queued))
 	case owned && isService:
 		c.bindTasks(queued, picks, queued.homeShard)
@@ -73,6 +73,16 @@
 	}
 }
 
+// zonesLeft returns the zones in which further tasks of a job may be placed in this cycle. They account for the tasks
+// that the cycle has allocated capacity for, also if it does not bind them, because another node will.
+func (c *cycle) zonesLeft(queued *queuedJob) *binpack.ZoneConstraint {
+	if queued.zones == nil {
+		zones := c.zoneConstraint(queued.job)
+		queued.zones = &zones
+	}
+	return queued.zones
+}
+
 // homeCandidates chooses a job's home shard and returns the machines to be considered for it and the filter that they
 // must pass, if any. It returns no machines if there is no capacity.
 func (c *cycle) homeCandidates(
@@ -100,11 +110,9 @@
 
 // allocateOwned allocates capacity for a job's tasks on this node's machines.
 func (c *cycle) allocateOwned(queued *queuedJob) []*binpack.MachineInfo {
-	zones := c.zoneConstraint(queued.job)
 	candidates := c.inventory.FittingMachines(&queued.Request)
-	return c.inventory.Allocate(&queued.Request, candidates, &zones, func(candidate *binpack.MachineInfo) bool {
-		return candidate.Owned
-	})
+	isOwned := func(candidate *binpack.MachineInfo) bool { return candidate.Owned }
+	return c.inventory.Allocate(&queued.Request, candidates, c.zonesLeft(queued), isOwned)
 }
 
 // allocateAcrossZones allocates capacity for a job's tasks. If the operators' settings ask for it, at most half of a
@@ -139,8 +147,8 @@
 	if queued.Remaining == 0 {
 		return
 	}
-	zones := c.zoneConstraint(job)
-	c.allocateAnywhere(queued, &zones)
+	zones := c.zonesLeft(queued)
+	c.allocateAnywhere(queued, zones)
 	if queued.Remaining == 0 {
 		return
 	}
@@ -149,9 +157,9 @@
 	// Tasks expected on pending machines must not count towards the zone limits of preemption. Otherwise a spread
 	// service would wait for machines to boot although it could preempt arrays.
 	missing, preemptionZones := queued.Remaining, zones.Clone()
-	c.inventory.AllocatePending(&queued.Request, &zones)
+	c.inventory.AllocatePending(&queued.Request, zones)
 	if queued.Remaining > 0 && c.collectsDemand {
-		c.addUnmet(unmet, queued, zones.PinnedZone)
+		c.addUnmet(unmet, queued, zones)
 	}
 	if c.mayPreempt(queued) {
 		c.preemptForTasks(queued, missing, &preemptionZones)
@@ -180,15 +188,20 @@
 	}
 }
 
-// addUnmet adds the remaining tasks of a job to the unmet demand.
-func (c *cycle) addUnmet(unmet *UnmetDemand, queued *queuedJob, zone string) {
+// addUnmet adds the remaining tasks of a job to the unmet demand, with the zones that the tasks placed so far leave.
+func (c *cycle) addUnmet(unmet *UnmetDemand, queued *queuedJob, zones *binpack.ZoneConstraint) {
 	if queued.Need.CPUs >= c.demand.commonTask.CPUs {
 		unmet.CommonTask = c.demand.commonTask
 	}
-	unmet.Groups = append(unmet.Groups, UnplacedGroup{
-		Spec: &queued.job.Spec, Count: queued.Remaining, Zone: zone, Rank: queued.rank,
+	group := UnplacedGroup{
+		Spec: &queued.job.Spec, Count: queued.Remaining, Zone: zones.PinnedZone, Rank: queued.rank,
 		ReadySince: queued.job.ReadySince(),
-	})
+	}
+	if queued.job.Spec.Spread {
+		spread := zones.Clone()
+		group.SpreadZones = &spread
+	}
+	unmet.Groups = append(unmet.Groups, group)
 }
 
 // mayPreempt reports whether other tasks may be stopped for a job: its priority is high or it lies within its team's
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -56,6 +56,8 @@
 	value           float64 // learned value; set only for the first jobs of the queue
 	homeShard       int     // the shard whose owner usually binds its tasks; unknownShard before it is chosen
 	deferred        bool    // no task of the job is bound in this cycle, unless the job is a gang
+
+	zones *binpack.ZoneConstraint // see zonesLeft; nil before it is computed
 }
 
 // unknownShard is the home shard of a job for which none has been chosen yet.
--- a/internal/scheduler/spread_test.go
+++ b/internal/scheduler/spread_test.go
@@ -178,6 +178,29 @@
 	})
 }
 
+// TestDemandOfSpreadJobCountsAllItsRecords guards against machines that are rented for tasks of a spread job that fit,
+// and not for tasks that don't, because the demand is computed under the zone limit of one of the job's records or
+// without the tasks that the same cycle has placed.
+func TestDemandOfSpreadJobCountsAllItsRecords(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		fixture := newTestCluster(nil)
+		tasks := rapid.IntRange(2, 300).Draw(t, "tasks")
+		kind := rapid.SampledFrom([]wire.JobKind{wire.KindArray, wire.KindGang, wire.KindService}).Draw(t, "kind")
+		fits := drawSpreadCapacity(t, fixture, tasks)
+		spec := spreadSpec(kind, wire.PriorityNormal, tasks)
+		fixture.putSpreadJob(spec, drawChunkWidth(t))
+		const leader = 0
+		c, _ := fixture.runCycle(leader)
+		unmet := 0
+		for _, group := range c.demand.unmet.Groups {
+			unmet += group.Count
+		}
+		if unmet != tasks-fits {
+			t.Errorf("machines are wanted for %d tasks, %d of %d fit", unmet, fits, tasks)
+		}
+	})
+}
+
 // TestNoPreemptionForTasksOfOtherRecords guards against tasks that are stopped for replicas that fit elsewhere, because
 // replicas of one record of a spread service were placed and those of its other records were not.
 func TestNoPreemptionForTasksOfOtherRecords(t *testing.T) {
