scheduler: tasks whose bindings are in flight are not placed again

While the records of a gang with too many of them for one transaction were being written, machines were rented for tasks that were bound already, and the one record whose change had failed waited for all others ("0 tasks bound, want 16; machines wanted for 608"). A replica of a spread service was placed once more in the zone of another one whose binding was in flight, instead of renting a machine elsewhere.

Cause: whether a gang is being written was judged by its own record alone, and a gang's pending tasks and the zones of a spread job were taken from the records, which don't show a binding in flight yet.

Change: a cycle knows the machine of each binding in flight. A gang's start leaves such tasks out, and they count in their zone.

--- a/internal/autoscaler/scaleoutplan_test.go
+++ b/internal/autoscaler/scaleoutplan_test.go
@@ -88,9 +88,9 @@
 	return zones
 }
 
-// TestSpreadJobIsRentedForWhereItMayStart checks that machines for the rest of a spread job are rented in zones that may
-// take it beside the job's other tasks. The test guards against machines that are rented again and again in a zone
-// that already holds half of the job.
+// TestSpreadJobIsRentedForWhereItMayStart checks that machines for the rest of a spread job are rented in zones
+// that may take it beside the job's other tasks. The test guards against machines that are rented again and
+// again in a zone that already holds half of the job.
 func TestSpreadJobIsRentedForWhereItMayStart(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		spec := newTestGang(rapid.IntRange(2, 60).Draw(t, "tasks"))
--- a/internal/scheduler/cycle.go
+++ b/internal/scheduler/cycle.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sableusher/internal/binpack"
+	"sableusher/internal/clusterstate"
 	"sableusher/internal/record"
 	"sableusher/internal/tuning"
 	"sableusher/internal/wire"
@@ -53,9 +54,10 @@
 
 // inFlightUsage holds the resources of tasks whose bindings are decided but not yet in the cluster state.
 type inFlightUsage struct {
-	byMachine  map[string]record.Resources
-	byTeam     map[int]map[string]record.Resources // by charged shard and team
-	tasksByJob map[string]int
+	byMachine     map[string]record.Resources
+	byTeam        map[int]map[string]record.Resources // by charged shard and team
+	tasksByJob    map[string]int
+	machineByTask map[record.TaskRef]string
 }
 
 // add adds the resources of a binding.
@@ -64,6 +66,16 @@
 	teams := u.byTeam[binding.chargedShard]
 	teams[binding.team] = teams[binding.team].Plus(binding.need)
 	u.tasksByJob[binding.task.JobID]++
+	u.machineByTask[binding.task] = binding.machine
+}
+
+// machineOf returns the machine of a task's binding, or false if the task has none.
+func (u *inFlightUsage) machineOf(job *clusterstate.Job, taskIndex int) (machine string, ok bool) {
+	if u.tasksByJob[job.Spec.ID] == 0 {
+		return "", false
+	}
+	machine, ok = u.machineByTask[record.TaskRef{JobID: job.Spec.ID, Index: taskIndex}]
+	return machine, ok
 }
 
 // usage returns the resources of a team's tasks that are charged to a shard, including tasks in flight.
@@ -87,9 +99,10 @@
 			fencingTokens: map[int]uint64{}, revisions: map[int]uint64{}, live: make([]bool, e.cluster.ShardCount),
 		},
 		inFlight: inFlightUsage{
-			byMachine:  map[string]record.Resources{},
-			byTeam:     map[int]map[string]record.Resources{},
-			tasksByJob: map[string]int{},
+			byMachine:     map[string]record.Resources{},
+			byTeam:        map[int]map[string]record.Resources{},
+			tasksByJob:    map[string]int{},
+			machineByTask: map[record.TaskRef]string{},
 		},
 		chunkEdits:     map[chunkKey]*chunkEdit{},
 		preempting:     preemptionProgress{awaiting: make(map[record.TaskRef]bool, len(e.reservations))},
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -12,7 +12,7 @@
 // gangStart describes the attempt in which a gang's pending tasks are to be bound.
 type gangStart struct {
 	attempt     uint64 // the latest attempt of any of the gang's tasks; placeGang increments it to start a new one
-	pending     []int  // indexes of the pending tasks
+	pending     []int  // indexes of the pending tasks whose bindings are not in flight
 	partlyBound bool   // some tasks of the attempt are bound or done already
 }
 
@@ -23,7 +23,9 @@
 func (c *cycle) placeGang(queued *queuedJob) {
 	job := queued.job
 	start := c.findGangStart(job)
-	queued.Remaining = len(start.pending)
+	if queued.Remaining = len(start.pending); queued.Remaining == 0 {
+		return
+	}
 	if !c.gangMayStart(job, start) {
 		c.logWaiting(job, waitGangAttempt, nil)
 		queued.Remaining = 0
@@ -47,16 +49,19 @@
 	}
 }
 
-// findGangStart returns a gang's pending tasks, its latest attempt and whether that is partly bound.
+// findGangStart returns a gang's pending tasks, its latest attempt and whether that is partly bound. Tasks whose
+// bindings are in flight belong to the attempt that the others are to be bound in.
 func (c *cycle) findGangStart(job *clusterstate.Job) gangStart {
 	start := gangStart{pending: make([]int, 0, job.PendingCount())}
 	for taskIndex := range job.Spec.TaskCount {
 		task := c.taskState(job, taskIndex)
 		start.attempt = max(start.attempt, task.Attempt)
-		if task.State == record.TaskPending {
-			start.pending = append(start.pending, taskIndex)
-		} else {
+		if task.State != record.TaskPending {
 			start.partlyBound = true
+			continue
+		}
+		if _, inFlight := c.inFlight.machineOf(job, taskIndex); !inFlight {
+			start.pending = append(start.pending, taskIndex)
 		}
 	}
 	return start
--- a/internal/scheduler/gang_test.go
+++ b/internal/scheduler/gang_test.go
@@ -1,11 +1,14 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 
 	"pgregory.net/rapid"
 
 	"sableusher/internal/record"
+	"sableusher/internal/tuning"
+	"sableusher/internal/wire"
 )
 
 // drawPartlyUsedMachines adds machines, some of them in use, and returns the number of free ones by zone.
@@ -73,3 +76,35 @@
 		}
 	})
 }
+
+// TestRestOfGangIsPlacedWhileItsRecordsAreWritten guards against capacity that is allocated or rented once more for
+// tasks of a partly bound gang whose bindings are in flight, because only the gang's own record was looked at.
+func TestRestOfGangIsPlacedWhileItsRecordsAreWritten(t *testing.T) {
+	const tasks, chunkWidth, failedChunk = 640, 16, 3 // more records than one transaction changes
+	for _, spread := range []bool{false, true} {
+		fixture := newTestCluster(t)
+		for zone := range 2 {
+			fixture.addMachinesInZone(zone, tasks/2/tasksPerMachine)
+		}
+		spec := spreadSpec(wire.KindGang, wire.PriorityHigh, tasks)
+		spec.Spread = spread
+		fixture.putSpreadJob(spec, chunkWidth)
+		home, job := record.ShardOf(spec.ID, testShards), fixture.cluster.Jobs[spec.ID]
+		fixture.own(record.LeaderShard, fmt.Sprintf("node-%d", home))
+		c, _ := fixture.runCycle(home)
+		for _, change := range c.outgoing {
+			switch {
+			case writesRecord(change, job.ChunkKey(0)):
+				fixture.apply(&cycle{outgoing: []*recordChange{change}})
+			case !writesRecord(change, job.ChunkKey(failedChunk)):
+				fixture.engines[home].changes.start(change)
+			}
+		}
+		testNow = testNow.Add(tuning.DemandInterval)
+		c, bindings := fixture.runCycle(home)
+		if unmet := c.demand.unmet.Groups; len(bindings) != chunkWidth || len(unmet) != 0 {
+			t.Errorf("spread %v: %d tasks bound, want %d; machines wanted for %v", spread, len(bindings),
+				chunkWidth, unmet)
+		}
+	}
+}
--- a/internal/scheduler/spread.go
+++ b/internal/scheduler/spread.go
@@ -55,7 +55,8 @@
 	chunks []spreadChunk // in order of their numbers
 }
 
-// spreadOf returns where the pending tasks of a spread job may be placed that are not in retry backoff.
+// spreadOf returns where those pending tasks of a spread job may be placed that are not in retry backoff and whose
+// bindings are not in flight.
 func (c *cycle) spreadOf(job *clusterstate.Job) *jobSpread {
 	spread := &jobSpread{limit: spreadLimit(job.Spec.TaskCount)}
 	for number := range job.ChunkCount() {
@@ -63,12 +64,11 @@
 		chunk := spreadChunk{number: number, limit: spreadLimit(end - first)}
 		for taskIndex := first; taskIndex < end; taskIndex++ {
 			task := c.taskState(job, taskIndex)
-			switch {
-			case task.State == record.TaskBound:
-				machine := c.cluster.Machines[task.Machine]
+			if name, ok := c.boundMachine(job, task); ok {
+				machine := c.cluster.Machines[name]
 				chunk.bound.add(machine)
 				spread.bound.add(machine)
-			case task.State == record.TaskPending && !c.inRetryBackoff(job, taskIndex):
+			} else if task.State == record.TaskPending && !c.inRetryBackoff(job, taskIndex) {
 				chunk.pending++
 			}
 		}
@@ -79,6 +79,15 @@
 	return spread
 }
 
+// boundMachine returns the machine that a task is bound to or that a change in flight binds it to. It returns false if
+// there is none.
+func (c *cycle) boundMachine(job *clusterstate.Job, task record.Task) (name string, ok bool) {
+	if task.State == record.TaskBound {
+		return task.Machine, true
+	}
+	return c.inFlight.machineOf(job, task.Index)
+}
+
 // room returns how many of the job's tasks may be placed in a zone.
 func (s *jobSpread) room(zone string) int {
 	room := 0
--- a/internal/scheduler/spread_test.go
+++ b/internal/scheduler/spread_test.go
@@ -201,6 +201,28 @@
 	})
 }
 
+// TestReplicaInFlightCountsInItsZone guards against a second replica of a spread service that is placed in the zone of
+// the first, instead of renting a machine in another zone, while the binding of the first is in flight.
+func TestReplicaInFlightCountsInItsZone(t *testing.T) {
+	fixture := newTestCluster(t)
+	fixture.addMachinesInZone(0, 1)
+	spec := spreadSpec(wire.KindService, wire.PriorityProduction, 2)
+	fixture.putSpreadJob(spec, 0)
+	home := record.ShardOf(spec.ID, testShards)
+	fixture.own(record.LeaderShard, fmt.Sprintf("node-%d", home))
+	c, bindings := fixture.runCycle(home)
+	if len(bindings) != 1 {
+		t.Fatalf("%d replicas bound, want 1", len(bindings))
+	}
+	fixture.engines[home].changes.start(c.outgoing[0])
+	testNow = testNow.Add(tuning.DemandInterval)
+	c, _ = fixture.runCycle(home)
+	unmet := c.demand.unmet.Groups
+	if len(unmet) != 1 || unmet[0].Count != 1 || unmet[0].SpreadZones.Allows(testZones[0]) {
+		t.Errorf("machines are wanted for %+v, want one for one replica in another zone", unmet)
+	}
+}
+
 // TestNoPreemptionForTasksOfOtherRecords guards against tasks that are stopped for replicas that fit elsewhere, because
 // replicas of one record of a spread service were placed and those of its other records were not.
 func TestNoPreemptionForTasksOfOtherRecords(t *testing.T) {
