scheduler: a rejected record holds up only its own tasks, and a gang as a whole

After the store had rejected a change of one record of an array or a service, no task of the job's other records was bound either ("0 tasks bound, want 24"). Of a gang with such a record the tasks of all other records were bound; they could only wait in vain for the rest and end as incomplete ("24 of 40 tasks bound").

Cause: binding went through the records in order and gave up at the first one that could not be written; a record with a change in flight was passed over, one with a rejected change was not. Whether a gang may be bound was decided without a look at whether its records may be written.

Change: chunkBindable passes over a rejected record too, and gangBindable asks for all records of the gang.

--- a/internal/scheduler/bind.go
+++ b/internal/scheduler/bind.go
@@ -108,9 +108,16 @@
 	return picks, true
 }
 
-// chunkBindable reports whether a chunk has a pending task and no change of its record is in flight.
+// chunkBindable reports whether a chunk has a pending task and may be changed now.
 func (c *cycle) chunkBindable(job *clusterstate.Job, chunk int) bool {
-	return !job.ChunkFullyAssigned(chunk) && !c.changes.inFlight(job.ChunkKey(chunk))
+	if job.ChunkFullyAssigned(chunk) || c.changes.inFlight(job.ChunkKey(chunk)) {
+		return false
+	}
+	if !c.chunkIsFree(chunkKey{job: job, chunk: chunk}) {
+		c.logWaiting(job, waitChangeInFlight, nil)
+		return false
+	}
+	return true
 }
 
 // taskStart is the start of a task on the machine that a cycle has chosen for it.
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -126,7 +126,7 @@
 }
 
 // gangBindable reports whether a whole gang can be bound in this cycle: the limit of bindings per cycle allows it, the
-// gang's records have space for the bindings and the grant of its home shard covers them.
+// gang's records may be changed and have space for the bindings, and the grant of its home shard covers them.
 func (c *cycle) gangBindable(queued *queuedJob, start gangStart, picks []*binpack.MachineInfo) bool {
 	job := queued.job
 	if c.tasksBound > 0 && c.tasksBound+len(picks) > tuning.BindingsPerCycle {
@@ -137,6 +137,10 @@
 		bindingsByChunk[job.ChunkOf(taskIndex)]++
 	}
 	for chunk, bindings := range bindingsByChunk {
+		if !c.chunkIsFree(chunkKey{job: job, chunk: chunk}) {
+			c.logWaiting(job, waitChangeInFlight, nil)
+			return false
+		}
 		if c.chunkFull(job, chunk, bindings, picks[0].Machine.Name) {
 			c.logWaiting(job, waitRecordFull, nil)
 			return false
