scheduler: a service that lost all replicas is recognized by any of its tasks

Under a shortage a service that has lost all its replicas gets one of them before other services get their second. A service whose first task was never started, while tasks in its other records were, did not: "no replica of the service that lost task 16", behind a service that took the whole machine.

Cause: whether a service ever had a replica was taken from its first task.

Change: clusterstate.Job.HasStarted looks at all tasks.

--- a/internal/clusterstate/jobs.go
+++ b/internal/clusterstate/jobs.go
@@ -1,6 +1,7 @@
 package clusterstate
 
 import (
+	"slices"
 	"time"
 
 	"sableusher/internal/record"
@@ -113,6 +114,13 @@
 	return chunk < len(j.Chunks) && len(j.Chunks[chunk].Tasks) > 0 && j.Chunks[chunk].pendingCount == 0
 }
 
+// HasStarted reports whether any task of the job was ever bound.
+func (j *Job) HasStarted() bool {
+	return slices.ContainsFunc(j.Chunks, func(chunk Chunk) bool {
+		return slices.ContainsFunc(chunk.Tasks, record.Task.Started)
+	})
+}
+
 // ForEachStartedTask calls visit for every task that was ever bound.
 func (j *Job) ForEachStartedTask(visit func(record.Task)) {
 	for chunk := range j.Chunks {
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -31,7 +31,7 @@
 // separate start would be a change of its record.
 func (c *cycle) placeFirstReplica(queued *queuedJob) {
 	job := queued.job
-	if job.Spec.Kind != wire.KindService || job.BoundCount > 0 || c.taskState(job, 0).Attempt == 0 {
+	if job.Spec.Kind != wire.KindService || job.BoundCount > 0 || !job.HasStarted() {
 		return
 	}
 	rest := queued.Remaining - 1
--- a/internal/scheduler/placement_test.go
+++ b/internal/scheduler/placement_test.go
@@ -6,6 +6,7 @@
 
 	"pgregory.net/rapid"
 
+	"sableusher/internal/kvstore"
 	"sableusher/internal/record"
 	"sableusher/internal/tuning"
 	"sableusher/internal/wire"
@@ -180,3 +181,31 @@
 func writesRecord(change *recordChange, key string) bool {
 	return slices.ContainsFunc(change.transaction.Ops, func(op wire.Op) bool { return op.PutKey == key })
 }
+
+// TestServiceWithoutReplicasGetsOneFirst guards against a service that has lost all its replicas and waits for the
+// second replicas of others, because its first task was never started.
+func TestServiceWithoutReplicasGetsOneFirst(t *testing.T) {
+	const chunkWidth = 16
+	for _, lost := range []int{0, chunkWidth} {
+		fixture := newTestCluster(t)
+		fixture.addMachinesInZone(0, 1)
+		other := spreadSpec(wire.KindService, wire.PriorityProduction, tasksPerMachine)
+		other.ID, other.Spread = "run-1", false
+		fixture.putSpreadJob(other, 0)
+		spec := spreadSpec(wire.KindService, wire.PriorityProduction, 2*chunkWidth)
+		spec.Spread = false
+		fixture.putSpreadJob(spec, chunkWidth)
+		job := fixture.cluster.Jobs[spec.ID]
+		released := job.EncodeChunk(job.ChunkOf(lost), map[int]record.Task{
+			lost: {Index: lost, State: record.TaskPending, Attempt: 1},
+		})
+		fixture.apply(&cycle{outgoing: []*recordChange{{transaction: kvstore.Transaction{Ops: []wire.Op{released}}}}})
+		for _, engine := range fixture.engines {
+			engine.demand.lastServiceShortage = testNow
+		}
+		fixture.scheduleUntilSettled()
+		if bound := fixture.cluster.Jobs[spec.ID].BoundCount; bound == 0 {
+			t.Errorf("no replica of the service that lost task %d", lost)
+		}
+	}
+}
