simulation: spread jobs of several records, under usual and lowered limits

Need: the zone limits of spread jobs were tested with small jobs in one record alone. Change: TestSpreadJobsOfSeveralRecordsRun plays gangs, arrays and services of up to 400 tasks in two or three zones, with the store's usual and lowered limits, while machines fail, the leader restarts and another controller is cut off from the store. It checks all rules, that every replica runs and that every job ends.

--- /dev/null
+++ b/internal/simulation/spreadjobs_test.go
@@ -0,0 +1,113 @@
+package simulation
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"sableusher/internal/config"
+	"sableusher/internal/record"
+	"sableusher/internal/wire"
+)
+
+const (
+	spreadScenarioJobs     = 6
+	spreadScenarioMaxTasks = 400 // in more records than one transaction changes, under the lowered limits
+	spreadServiceRunTime   = 4 * time.Minute
+)
+
+// spreadSettings returns the settings of a controller in a region with the given zones. If lowered is set, they
+// announce the lowered limits of the key-value store, so that the jobs' records are split further.
+func spreadSettings(zones []string, lowered bool) func(index int) *config.Settings {
+	return func(index int) *config.Settings {
+		settings := testSettings(index)
+		settings.Deployment.Zones = zones
+		if lowered {
+			settings.Deployment.State.Next = &loweredLimits
+		}
+		return settings
+	}
+}
+
+// spreadMachineTypes returns the large machine type in the given zones.
+func spreadMachineTypes(zones []string) []wire.MachineType {
+	large := largeMachinesOnly[0]
+	large.Zones = zones
+	return []wire.MachineType{large}
+}
+
+// newSpreadJob returns a gang, an array or a service that must be spread over several zones.
+func newSpreadJob(random *rand.Rand, number int) userJob {
+	kind := []wire.JobKind{wire.KindGang, wire.KindArray, wire.KindService}[number%3]
+	spec := newSpec(number, kind)
+	spec.Spread, spec.TaskCount = true, 2+random.IntN(spreadScenarioMaxTasks)
+	spec.CPUs, spec.GPUs, spec.MemoryGB = 0.5, 0, 1
+	job := userJob{spec: spec, runSeconds: 10}
+	if kind == wire.KindService {
+		job.cancelAfter = spreadServiceRunTime
+	}
+	return job
+}
+
+// runningTasks returns how many tasks of a job are on machines.
+func (c *InvariantChecker) runningTasks(spec *wire.JobSpec) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	running := 0
+	for index := range spec.TaskCount {
+		running += len(c.placements[record.TaskRef{JobID: spec.ID, Index: index}])
+	}
+	return running
+}
+
+// TestSpreadJobsOfSeveralRecordsRun checks that gangs, arrays and services that must be spread over two or three zones
+// run as a whole, with few or many tasks in a record, after machines have failed, the leader has restarted and another
+// controller was cut off from the key-value store. It guards against jobs that wait for ever because the zone limit of
+// one of their records is taken for that of all.
+func TestSpreadJobsOfSeveralRecordsRun(t *testing.T) {
+	for seed := range uint64(environmentInt("SPREAD_DAYS", 4)) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { simulateSpreadJobs(t, seed) })
+		})
+	}
+}
+
+func simulateSpreadJobs(t *testing.T, seed uint64) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	random := newRandom(seed, streamSpreadScenario)
+	lowered, zones := seed%2 == 0, testZones[:2+seed/2%2]
+	r := testRegion{
+		settings: spreadSettings(zones, lowered), machineTypes: spreadMachineTypes(zones), capacityPerKind: 40,
+		random: newRandom(seed, streamSpreadRegion),
+	}.startControllers(ctx, threeControllers)
+	time.Sleep(10 * time.Second)
+	if lowered {
+		r.KV.LowerLimits(loweredLimits)
+	}
+	var services []wire.JobSpec
+	for i := range spreadScenarioJobs {
+		job := newSpreadJob(random, i+1)
+		if job.spec.Kind == wire.KindService {
+			services = append(services, job.spec)
+		}
+		r.wg.Go(func() { r.SimulateUser(ctx, job) })
+	}
+	time.Sleep(secondsBetween(random, 1, 10))
+	injection{r, random, time.Now().Add(20 * time.Second)}.forThirdOfMachines(r.FailMachine)
+	partitionAndRestart(ctx, r, random)
+	r.Checker.FaultsEnded()
+	time.Sleep(2 * time.Minute)
+	for i := range services {
+		if running := r.Checker.runningTasks(&services[i]); running != services[i].TaskCount {
+			t.Errorf("%d of %d replicas of %s run", running, services[i].TaskCount, services[i].ID)
+		}
+	}
+	r.waitUntilFinished(36)
+	r.end(cancel)
+	checkRun(t, r)
+}
--- a/internal/simulation/testregion_test.go
+++ b/internal/simulation/testregion_test.go
@@ -40,6 +40,8 @@
 	streamPipelineScenario   randomStream = 93
 	streamStartCopyScenario  randomStream = 94
 	streamWriteCopyScenario  randomStream = 95
+	streamSpreadScenario     randomStream = 96
+	streamSpreadRegion       randomStream = 97
 )
 
 // requestDrainTime is how long requests may be in flight after the end of a scenario.
