--- a/internal/simulation/cancellation_test.go
+++ b/internal/simulation/cancellation_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -155,21 +154,17 @@
 // that a cancellation that can't be confirmed at first is confirmed later. GAP_DAYS sets the number of scenarios.
 func TestCancellationsDuringOutage(t *testing.T) {
 	var allWaited []time.Duration
-	for seed := range uint64(environmentInt("GAP_DAYS", 5)) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				r := simulateRefusalScenario(seed+1, false)
-				checkViolations(t, r)
-				waited, open := r.Checker.CancellationDurations()
-				allWaited = append(allWaited, waited...)
-				t.Logf("%d confirmed after %v to %v, %d not confirmed",
-					len(waited), waited[:min(1, len(waited))], waited[max(0, len(waited)-1):], open)
-				if len(waited) < 5 || open > 0 {
-					t.Errorf("%d cancellations confirmed, %d never", len(waited), open)
-				}
-			})
-		})
-	}
+	simulateSeeds(t, "GAP_DAYS", 5, func(t *testing.T, seed uint64) {
+		r := simulateRefusalScenario(seed+1, false)
+		checkViolations(t, r)
+		waited, open := r.Checker.CancellationDurations()
+		allWaited = append(allWaited, waited...)
+		t.Logf("%d confirmed after %v to %v, %d not confirmed",
+			len(waited), waited[:min(1, len(waited))], waited[max(0, len(waited)-1):], open)
+		if len(waited) < 5 || open > 0 {
+			t.Errorf("%d cancellations confirmed, %d never", len(waited), open)
+		}
+	})
 	confirmedWithin10s := 0
 	for _, waited := range allWaited {
 		if waited < 10*time.Second {
--- a/internal/simulation/dependentcancel_test.go
+++ b/internal/simulation/dependentcancel_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"sableusher/internal/tuning"
@@ -72,17 +70,13 @@
 // the mark of a cancellation may show before the completion of the last task in another record. PIPELINE_DAYS sets the
 // number of scenarios.
 func TestDependentsOfJobsCancelledAtCompletion(t *testing.T) {
-	for seed := range uint64(environmentInt("PIPELINE_DAYS", 2)) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				r := simulatePipelines(seed + 1)
-				checkRun(t, r)
-				outcomes := r.firstJobOutcomes()
-				t.Logf("first jobs that were to be cancelled, by outcome: %v", outcomes)
-				if min(outcomes[wire.JobDone], outcomes[wire.JobCancelled]) < minCancelledPipelines {
-					t.Errorf("want at least %d of each outcome", minCancelledPipelines)
-				}
-			})
-		})
-	}
+	simulateSeeds(t, "PIPELINE_DAYS", 2, func(t *testing.T, seed uint64) {
+		r := simulatePipelines(seed + 1)
+		checkRun(t, r)
+		outcomes := r.firstJobOutcomes()
+		t.Logf("first jobs that were to be cancelled, by outcome: %v", outcomes)
+		if min(outcomes[wire.JobDone], outcomes[wire.JobCancelled]) < minCancelledPipelines {
+			t.Errorf("want at least %d of each outcome", minCancelledPipelines)
+		}
+	})
 }
--- a/internal/simulation/randomscenario_test.go
+++ b/internal/simulation/randomscenario_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"testing"
-	"testing/synctest"
 	"time"
 )
 
@@ -130,15 +128,11 @@
 // TestInvariantsUnderFaults runs three controllers through generated scenarios and checks every rule. STANDIN_DAYS
 // sets the number of scenarios.
 func TestInvariantsUnderFaults(t *testing.T) {
-	for seed := range uint64(environmentInt("STANDIN_DAYS", 8)) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				r := simulateRandomScenario(seed + 1)
-				checkRun(t, r)
-				if r.Checker.TaskStarts < 20 {
-					t.Errorf("only %d tasks started", r.Checker.TaskStarts)
-				}
-			})
-		})
-	}
+	simulateSeeds(t, "STANDIN_DAYS", 8, func(t *testing.T, seed uint64) {
+		r := simulateRandomScenario(seed + 1)
+		checkRun(t, r)
+		if r.Checker.TaskStarts < 20 {
+			t.Errorf("only %d tasks started", r.Checker.TaskStarts)
+		}
+	})
 }
--- a/internal/simulation/spreadjobs_test.go
+++ b/internal/simulation/spreadjobs_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"sableusher/internal/config"
@@ -66,14 +64,9 @@
 // TestSpreadJobsOfSeveralRecordsRun checks that gangs, arrays and services that must be spread over two or three zones
 // run as a whole, with few or many tasks in a record, after machines have failed, the leader has restarted and another
 // controller was cut off from the key-value store. It guards against jobs that wait for ever because the zone limit of
-// one of their records is taken for that of all.
+// one of their records is taken for that of all. SPREAD_DAYS sets the number of scenarios.
 func TestSpreadJobsOfSeveralRecordsRun(t *testing.T) {
-	for seed := range uint64(environmentInt("SPREAD_DAYS", 4)) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) { simulateSpreadJobs(t, seed) })
-		})
-	}
+	simulateSeedsInParallel(t, "SPREAD_DAYS", 4, simulateSpreadJobs)
 }
 
 func simulateSpreadJobs(t *testing.T, seed uint64) {
--- a/internal/simulation/testregion_test.go
+++ b/internal/simulation/testregion_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"sableusher/internal/config"
@@ -179,6 +180,30 @@
 	return defaultValue
 }
 
+// simulateSeeds runs a scenario with each seed from 0 on, each in a subtest and a bubble of its own. An environment
+// variable sets the number of seeds.
+func simulateSeeds(t *testing.T, variable string, defaultCount int, simulate func(t *testing.T, seed uint64)) {
+	t.Helper()
+	for seed := range uint64(environmentInt(variable, defaultCount)) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { simulate(t, seed) })
+		})
+	}
+}
+
+// simulateSeedsInParallel is like simulateSeeds and runs the subtests in parallel.
+func simulateSeedsInParallel(
+	t *testing.T, variable string, defaultCount int, simulate func(t *testing.T, seed uint64),
+) {
+	t.Helper()
+	for seed := range uint64(environmentInt(variable, defaultCount)) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { simulate(t, seed) })
+		})
+	}
+}
+
 // waitUntilFinished waits until all jobs have ended. It checks that every 5 s, for at most the given number of
 // attempts.
 func (r *Region) waitUntilFinished(attempts int) {
--- a/internal/simulation/upgrade_test.go
+++ b/internal/simulation/upgrade_test.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"sableusher/internal/config"
@@ -49,14 +48,10 @@
 // TestUpgradeDays runs generated scenarios of a rolling upgrade, job graphs and lowered limits. UPGRADE_DAYS sets the
 // number of scenarios.
 func TestUpgradeDays(t *testing.T) {
-	for seed := range uint64(environmentInt("UPGRADE_DAYS", 5)) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				scenario := upgradeScenario{seed: seed + 1, random: newRandom(seed+1, streamUpgradeScenario)}
-				scenario.simulate(t)
-			})
-		})
-	}
+	simulateSeeds(t, "UPGRADE_DAYS", 5, func(t *testing.T, seed uint64) {
+		scenario := upgradeScenario{seed: seed + 1, random: newRandom(seed+1, streamUpgradeScenario)}
+		scenario.simulate(t)
+	})
 }
 
 func (s *upgradeScenario) simulate(t *testing.T) {
--- a/internal/simulation/writecopies_test.go
+++ b/internal/simulation/writecopies_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"sableusher/internal/record"
@@ -21,12 +19,7 @@
 // TestCopiesOfAnsweredTransactionsBreakNoRule checks that no copy of an answered transaction breaks a rule, and that
 // only copies of rentals, machine records and learner checkpoints are applied.
 func TestCopiesOfAnsweredTransactionsBreakNoRule(t *testing.T) {
-	for seed := range uint64(environmentInt("WRITE_COPY_DAYS", 2)) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) { simulateWriteCopies(t, seed) })
-		})
-	}
+	simulateSeedsInParallel(t, "WRITE_COPY_DAYS", 2, simulateWriteCopies)
 }
 
 func simulateWriteCopies(t *testing.T, seed uint64) {
