scheduler: test that a replica on an unknown machine counts in every zone

Need: such a task no longer holds up the whole spread job; that it counts in each zone had no test. Change: TestReplicaOnUnknownMachineCountsInEveryZone.

--- a/internal/scheduler/spread_test.go
+++ b/internal/scheduler/spread_test.go
@@ -201,6 +201,27 @@
 	})
 }
 
+// TestReplicaOnUnknownMachineCountsInEveryZone checks that a replica of a spread service on a machine without a record
+// counts in each zone, and that the others are placed.
+func TestReplicaOnUnknownMachineCountsInEveryZone(t *testing.T) {
+	fixture := newTestCluster(t)
+	for zone := range 2 {
+		fixture.addMachinesInZone(zone, 1)
+	}
+	spec := spreadSpec(wire.KindService, wire.PriorityProduction, 4)
+	fixture.addJob(spec, boundTask(0, "vm-999999"))
+	fixture.scheduleUntilSettled()
+	bound := map[string]int{}
+	fixture.cluster.Jobs[spec.ID].ForEachStartedTask(func(task record.Task) {
+		if machine := fixture.cluster.Machines[task.Machine]; machine != nil {
+			bound[machine.Zone]++
+		}
+	})
+	if len(bound) != 2 || bound[testZones[0]] != 1 || bound[testZones[1]] != 1 {
+		t.Errorf("replicas bound by zone: %v, want one in each of two", bound)
+	}
+}
+
 // TestReplicaInFlightCountsInItsZone guards against a second replica of a spread service that is placed in the zone of
 // the first, instead of renting a machine in another zone, while the binding of the first is in flight.
 func TestReplicaInFlightCountsInItsZone(t *testing.T) {
