scheduler: test that the machines of a whole gang can always be divided

Need: a gang whose machines can't be divided among its records would not start; that this can't happen was argued only. Change: TestMachinesOfWholeGangAreDivided, with up to 2,000 tasks and six zones.

--- a/internal/scheduler/spread_test.go
+++ b/internal/scheduler/spread_test.go
@@ -6,6 +6,7 @@
 
 	"pgregory.net/rapid"
 
+	"sableusher/internal/binpack"
 	"sableusher/internal/clusterstate"
 	"sableusher/internal/record"
 	"sableusher/internal/tuning"
@@ -136,6 +137,54 @@
 	}
 }
 
+// drawPicks draws machines for a number of tasks, at most half of them in each of two to six zones, in any order.
+func drawPicks(t *rapid.T, tasks int) []*binpack.MachineInfo {
+	var picks []*binpack.MachineInfo
+	zones, inZone := rapid.IntRange(2, 6).Draw(t, "zones"), map[string]int{}
+	for len(picks) < tasks {
+		zone := fmt.Sprint("zone-", rapid.IntRange(0, zones-1).Draw(t, "zone"))
+		count := min(rapid.IntRange(1, tasks).Draw(t, "count"), tasks-len(picks), (tasks+1)/2-inZone[zone])
+		for range count {
+			picks = append(picks, &binpack.MachineInfo{Machine: &clusterstate.Machine{
+				Machine: record.Machine{Zone: zone},
+			}})
+		}
+		inZone[zone] += count
+	}
+	return picks
+}
+
+// TestMachinesOfWholeGangAreDivided checks that the machines of a gang of which no task is bound can always be divided
+// among its chunks so that each keeps its own limit.
+func TestMachinesOfWholeGangAreDivided(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		fixture := newTestCluster(nil)
+		tasks := rapid.IntRange(2, 2000).Draw(t, "tasks")
+		spec := spreadSpec(wire.KindGang, wire.PriorityHigh, tasks)
+		fixture.putSpreadJob(spec, drawChunkWidth(t))
+		picks, divided := drawPicks(t, tasks), 0
+		fixture.inCycle(0, func(c *cycle) {
+			spread := c.spreadOf(fixture.cluster.Jobs[spec.ID])
+			picksByChunk := spread.distribute(picks)
+			for _, chunk := range spread.chunks {
+				inZone := map[string]int{}
+				for _, pick := range picksByChunk[chunk.number] {
+					inZone[pick.Machine.Zone]++
+					divided++
+				}
+				for zone, count := range inZone {
+					if 2*count > chunk.pending+1 {
+						t.Errorf("%d of %d machines of chunk %d in %s", count, chunk.pending, chunk.number, zone)
+					}
+				}
+			}
+		})
+		if divided != tasks {
+			t.Errorf("%d of %d machines divided", divided, tasks)
+		}
+	})
+}
+
 // TestSpreadGangIsPlacedWherePossible checks that a spread gang is bound as a whole if the free capacity allows it, in
 // all its records within their zone limits, and not at all otherwise.
 func TestSpreadGangIsPlacedWherePossible(t *testing.T) {
