simulation: every spread job of the scenarios has several records

Need: the jobs of TestSpreadJobsOfSeveralRecordsRun had 2 tasks and more, so some had one record, and no test asserted that its jobs have several. Change: the scenarios' jobs have more tasks than one record holds under any limits, and the records are counted; TestSpreadGangStartsWithHalfInEachZone and TestNoPreemptionForTasksOfOtherRecords assert the number of chunks.

--- a/internal/scheduler/spread_test.go
+++ b/internal/scheduler/spread_test.go
@@ -131,8 +131,9 @@
 		spec := spreadSpec(wire.KindGang, wire.PriorityHigh, gang.tasks)
 		fixture.putSpreadJob(spec, gang.chunkWidth)
 		fixture.scheduleUntilSettled()
-		if bound := fixture.cluster.Jobs[spec.ID].BoundCount; bound != gang.tasks {
-			t.Errorf("%d of %d tasks bound, chunks of %d", bound, gang.tasks, gang.chunkWidth)
+		job := fixture.cluster.Jobs[spec.ID]
+		if job.ChunkCount() < 2 || job.BoundCount != gang.tasks {
+			t.Errorf("%d of %d tasks bound, in %d chunks", job.BoundCount, gang.tasks, job.ChunkCount())
 		}
 	}
 }
@@ -310,7 +311,11 @@
 			spec.CPUs, spec.GPUs, spec.MemoryGB, spec.Priority = 30, 4, 200, wire.PriorityLow
 			fixture.addJob(spec, boundTask(0, machine))
 		}
-		fixture.putSpreadJob(spreadSpec(wire.KindService, wire.PriorityProduction, tasks), width)
+		spec := spreadSpec(wire.KindService, wire.PriorityProduction, tasks)
+		fixture.putSpreadJob(spec, width)
+		if chunks := fixture.cluster.Jobs[spec.ID].ChunkCount(); chunks < 2 {
+			t.Errorf("width %d: the service has %d chunks, want several", width, chunks)
+		}
 		for node := range testShards {
 			if c, _ := fixture.runCycle(node); c.preempting.machines > 0 {
 				t.Errorf("width %d: node %d stops tasks on %d machines beside free capacity", width, node,
--- a/internal/simulation/spreadjobs_test.go
+++ b/internal/simulation/spreadjobs_test.go
@@ -8,12 +8,14 @@
 
 	"sableusher/internal/config"
 	"sableusher/internal/record"
+	"sableusher/internal/tuning"
 	"sableusher/internal/wire"
 )
 
 const (
 	spreadScenarioJobs     = 6
-	spreadScenarioMaxTasks = 400 // in more records than one transaction changes, under the lowered limits
+	spreadScenarioMinTasks = tuning.FixedChunkTasks + 1 // in several records
+	spreadScenarioMaxTasks = 400                        // in more records than a transaction of lowered limits changes
 	spreadServiceRunTime   = 4 * time.Minute
 )
 
@@ -41,7 +43,8 @@
 func newSpreadJob(random *rand.Rand, number int) userJob {
 	kind := []wire.JobKind{wire.KindGang, wire.KindArray, wire.KindService}[number%3]
 	spec := newSpec(number, kind)
-	spec.Spread, spec.TaskCount = true, 2+random.IntN(spreadScenarioMaxTasks)
+	spec.Spread = true
+	spec.TaskCount = spreadScenarioMinTasks + random.IntN(spreadScenarioMaxTasks-spreadScenarioMinTasks+1)
 	spec.CPUs, spec.GPUs, spec.MemoryGB = 0.5, 0, 1
 	job := userJob{spec: spec, runSeconds: 10}
 	if kind == wire.KindService {
@@ -61,6 +64,19 @@
 	return running
 }
 
+// furtherChunks returns the number of records that hold tasks beside the jobs' own records.
+func (kv *FakeKV) furtherChunks() int {
+	kv.mu.Lock()
+	defer kv.mu.Unlock()
+	count := 0
+	for key := range kv.rows {
+		if _, _, ok := record.ParseChunkKey(key); ok {
+			count++
+		}
+	}
+	return count
+}
+
 // TestSpreadJobsOfSeveralRecordsRun checks that gangs, arrays and services that must be spread over two or three zones
 // run as a whole, with few or many tasks in a record, after machines have failed, the leader has restarted and another
 // controller was cut off from the key-value store. It guards against jobs that wait for ever because the zone limit of
@@ -95,6 +111,9 @@
 	partitionAndRestart(ctx, r, random)
 	r.Checker.FaultsEnded()
 	time.Sleep(2 * time.Minute)
+	if chunks := r.KV.furtherChunks(); chunks < len(services) {
+		t.Errorf("%d services are kept in one record each and %d others", len(services), chunks)
+	}
 	for i := range services {
 		if running := r.Checker.runningTasks(&services[i]); running != services[i].TaskCount {
 			t.Errorf("%d of %d replicas of %s run", running, services[i].TaskCount, services[i].ID)
