simulation: users whose cancellation meets the refused leader repeat it

Cause: traced. Twelve users cancel while the leader is refused, each once and at a controller chosen at random. Those who reach the leader are refused and count for nothing. The injected defect shows only for a cancellation that was recorded and whose job has a task in the leader's shard. So the test rested on which controllers its users met. Change: they repeat the cancellation until it is recorded, as users do.

--- a/internal/simulation/cancellation_test.go
+++ b/internal/simulation/cancellation_test.go
@@ -141,11 +141,22 @@
 	}
 }
 
+// cancelDuringRefusal refuses the leader and has twelve users cancel their jobs. Those who reach the leader repeat the
+// cancellation until another controller has recorded it.
 func (s *refusalScenario) cancelDuringRefusal(ctx context.Context) {
 	s.refuseLeader(20 * time.Second)
 	time.Sleep(300 * time.Millisecond)
 	for i := range 12 {
-		s.region.wg.Go(func() { s.region.CancelJob(ctx, jobID(i+1)) })
+		s.region.wg.Go(func() {
+			const attempts = 12
+			for range attempts {
+				s.region.CancelJob(ctx, jobID(i+1))
+				if s.region.cancelRecorded(jobID(i + 1)) {
+					return
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+		})
 	}
 	time.Sleep(s.secondsIn(1.6, 2.2))
 }
