record: the chunks of services and spread jobs have space for a machine per task

Cause: SizeLimits.ChunkWidth took 20 bytes for a task of a service, as for arrays, whose tasks share machines and end. Replicas on machines of their own take about 31, and don't end: the record of 64 tasks was full. Change: services are given the width of gangs, and so are spread jobs of all kinds, because each of their records has limits on zones of its own. Jobs whose fixed records are migrated get it whatever their kind: their tasks may be on machines of their own already, and the new record was refused by the store. The three estimates are one now: GroupedTaskMaxBytes holds for a task in any state of a grouped record (before, 40 bytes were said to hold for names of 20 bytes, which take 49). A service whose description leaves too little space for that keeps the width it had, rather than being refused.

--- a/internal/clusterstate/machines.go
+++ b/internal/clusterstate/machines.go
@@ -6,7 +6,6 @@
 	"slices"
 
 	"sableusher/internal/record"
-	"sableusher/internal/tuning"
 	"sableusher/internal/wire"
 )
 
@@ -106,6 +105,5 @@
 // SizeLimits returns the limits for records of at most maxBytes, with an allowance for the longest machine name seen
 // so far. The caller must hold the lock.
 func (s *State) SizeLimits(maxBytes int) record.SizeLimits {
-	extraNameBytes := max(0, s.longestMachineName-tuning.BoundTaskNameBytes)
-	return record.SizeLimits{MaxBytes: maxBytes, BoundTaskBytes: tuning.BoundTaskMaxBytes + extraNameBytes}
+	return record.NewSizeLimits(maxBytes, s.longestMachineName)
 }
--- a/internal/clusterstate/migration.go
+++ b/internal/clusterstate/migration.go
@@ -53,7 +53,7 @@
 
 // migratedChunkWidth returns the chunk width that a job with fixed chunks is migrated to, or 0 if none fits.
 func (j *Job) migratedChunkWidth(limits record.SizeLimits) int {
-	width := limits.ChunkWidth(&j.Spec, j.EncodedBaseSize)
+	width := limits.MigratedChunkWidth(&j.Spec, j.EncodedBaseSize)
 	if width > 0 && j.Spec.Spread {
 		// Each chunk of a spread job is placed in its own half of a zone, so its range of tasks must not change.
 		return tuning.FixedChunkTasks
@@ -66,7 +66,7 @@
 func (m *Migration) deleteFixedChunk(job *Job, fixedChunk int) {
 	chunk := job.ChunkOf(fixedChunk * tuning.FixedChunkTasks)
 	m.Conditions = append(m.Conditions, job.chunkCondition(chunk))
-	if job.chunkModRevision(chunk) != 0 {
+	if job.ChunkModRevision(chunk) != 0 {
 		m.Ops = append(m.Ops, wire.Op{DeleteKey: job.ChunkKey(chunk)})
 	}
 }
@@ -77,7 +77,7 @@
 	skipped := 0
 	for skipped < limit && first+skipped < record.FixedChunkCount(job.Spec.TaskCount) {
 		chunk := job.ChunkOf((first + skipped) * tuning.FixedChunkTasks)
-		if job.chunkModRevision(chunk) != 0 {
+		if job.ChunkModRevision(chunk) != 0 {
 			break
 		}
 		m.Conditions = append(m.Conditions, job.chunkCondition(chunk))
--- a/internal/record/size.go
+++ b/internal/record/size.go
@@ -19,27 +19,75 @@
 // SizeLimits holds the size limits of job records, in bytes of their JSON form.
 type SizeLimits struct {
 	MaxBytes       int // of one record
-	BoundTaskBytes int // upper bound of the size of one bound task in a record
+	BoundTaskBytes int // upper bound of the size of one bound task in a fixed chunk
+	// GroupedTaskBytes is an upper bound of the size of one task in a grouped chunk, in any state and in a group of its
+	// own.
+	GroupedTaskBytes int
 }
 
-// ChunkWidth returns the number of tasks that a grouped chunk of a job should hold, or 0 if no width fits. baseSize is
-// the size in bytes of the job's own record without tasks. The width of a gang allows for a different machine for each
-// task, because its tasks are bound together. The width of an array assumes that tasks share machines; if they are on
-// too many machines for the record, some of them have to wait.
+// NewSizeLimits returns the limits for records of at most maxBytes, with an allowance for machine names of longestName
+// bytes.
+func NewSizeLimits(maxBytes, longestName int) SizeLimits {
+	return SizeLimits{
+		MaxBytes:         maxBytes,
+		BoundTaskBytes:   tuning.BoundTaskMaxBytes + max(0, longestName-tuning.BoundTaskNameBytes),
+		GroupedTaskBytes: tuning.GroupedTaskMaxBytes + max(0, longestName-tuning.GroupedTaskNameBytes),
+	}
+}
+
+// ChunkWidth returns the number of tasks that a grouped chunk of a new job should hold, or 0 if no width fits. baseSize
+// is the size in bytes of the job's own record without tasks. The width of a gang or a service allows for a different
+// machine for each task: the tasks of a gang are bound together, and the replicas of a service don't end. So does that
+// of a spread job, each of whose chunks has limits of its own. The width of other arrays assumes that tasks share
+// machines. Chunks that are full all the same are replaced by narrower ones (clusterstate.Job.NarrowChunks).
 func (l SizeLimits) ChunkWidth(spec *wire.JobSpec, baseSize int) int {
-	bytesPerTask := tuning.BoundTaskTypicalBytes
-	if spec.Kind == wire.KindGang {
-		bytesPerTask = l.BoundTaskBytes
+	if spec.Kind == wire.KindArray && !spec.Spread {
+		return l.widthFor(spec, baseSize, tuning.BoundTaskTypicalBytes)
+	}
+	width := l.widthFor(spec, baseSize, l.GroupedTaskBytes)
+	if width == 0 && spec.Kind != wire.KindGang {
+		return l.widthFor(spec, baseSize, tuning.BoundTaskTypicalBytes)
+	}
+	return width
+}
+
+// MigratedChunkWidth is like ChunkWidth for a job whose fixed chunks are migrated. Its tasks may be bound already, each
+// to a different machine, whatever the kind of the job.
+func (l SizeLimits) MigratedChunkWidth(spec *wire.JobSpec, baseSize int) int {
+	if width := l.widthFor(spec, baseSize, l.GroupedTaskBytes); width > 0 {
+		return width
 	}
-	bytesPerTask += failureBytesPerTask(spec)
+	return l.ChunkWidth(spec, baseSize)
+}
+
+// widthFor returns the largest chunk width whose chunks stay within the limits if each task takes taskBytes and its
+// failures, or 0 if no width does.
+func (l SizeLimits) widthFor(spec *wire.JobSpec, baseSize, taskBytes int) int {
+	taskBytes += failureBytesPerTask(spec)
 	for width := tuning.FixedChunkTasks; width >= tuning.MinChunkWidth; width /= 2 {
-		if baseSize+min(width, spec.TaskCount)*bytesPerTask <= l.MaxBytes {
+		if baseSize+min(width, spec.TaskCount)*taskBytes <= l.MaxBytes {
 			return width
 		}
 	}
 	return 0
 }
 
+// GroupedTasksSize returns an upper bound of the size of the given number of tasks in a grouped chunk, in bytes of its
+// JSON form.
+func (l SizeLimits) GroupedTasksSize(spec *wire.JobSpec, tasks int) int {
+	return tasks * (l.GroupedTaskBytes + failureBytesPerTask(spec))
+}
+
+// ChunkAlwaysFits reports whether a chunk of the job stays within the limits in every state of its tasks. baseSize is
+// the job's EncodedBaseSize.
+func (j *Job) ChunkAlwaysFits(chunk, baseSize int, limits SizeLimits) bool {
+	if !j.isGrouped(chunk) {
+		return limits.FixedChunksFit(&j.Spec, baseSize)
+	}
+	first, end := j.TaskRange(chunk)
+	return j.emptyChunkSize(chunk, baseSize)+limits.GroupedTasksSize(&j.Spec, end-first) <= limits.MaxBytes
+}
+
 // FixedChunksFit reports whether fixed chunks of a job stay within the limits in every state of its tasks.
 func (l SizeLimits) FixedChunksFit(spec *wire.JobSpec, baseSize int) bool {
 	bytesPerTask := l.BoundTaskBytes + failureBytesPerTask(spec)
@@ -71,13 +119,7 @@
 // MaxChunkSize returns an upper bound of the size of a chunk's record with the given tasks, in bytes of its JSON form.
 // baseSize is the job's EncodedBaseSize.
 func (j *Job) MaxChunkSize(chunk, baseSize int, tasks []Task) int {
-	size := chunkBytes
-	if j.Spec.MaxRetries != nil {
-		size += failureListBytes
-	}
-	if chunk == 0 {
-		size = baseSize
-	}
+	size := j.emptyChunkSize(chunk, baseSize)
 	for _, task := range tasks {
 		if task.Failures > 0 {
 			size += failurePairBytes + decimalDigits(task.Index) + decimalDigits(task.Failures)
@@ -89,6 +131,19 @@
 	return size + fixedSize(tasks)
 }
 
+// emptyChunkSize returns the size of a chunk's record without tasks, with an empty list of failures if the job has a
+// retry limit.
+func (j *Job) emptyChunkSize(chunk, baseSize int) int {
+	switch {
+	case chunk == 0:
+		return baseSize
+	case j.Spec.MaxRetries != nil:
+		return chunkBytes + failureListBytes
+	default:
+		return chunkBytes
+	}
+}
+
 // fixedSize returns the size of tasks in a fixed chunk, excluding failures.
 func fixedSize(tasks []Task) int {
 	size := 0
--- a/internal/record/size_test.go
+++ b/internal/record/size_test.go
@@ -45,8 +45,8 @@
 // for each task stay within a value limit of 2 KiB.
 func TestGangRecordsFitSmallLimit(t *testing.T) {
 	limit := 2048
-	limits := SizeLimits{MaxBytes: int(float64(limit) * tuning.JSONShareOfValueLimit),
-		BoundTaskBytes: tuning.BoundTaskMaxBytes}
+	const longestName = len("vm-000000000")
+	limits := NewSizeLimits(int(float64(limit)*tuning.JSONShareOfValueLimit), longestName)
 	for _, taskCount := range []int{1, 32, 100, 5000} {
 		job := Job{Spec: longSpecGang(taskCount), SubmittedAtMs: submittedAtMs}
 		job.ChunkWidth = limits.ChunkWidth(&job.Spec, EncodedBaseSize(job))
@@ -72,8 +72,8 @@
 func TestRecordsWithFailuresFit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limit := rapid.SampledFrom([]float64{2048, 8192, 16384}).Draw(t, "limit")
-		limits := SizeLimits{MaxBytes: int(limit * tuning.JSONShareOfValueLimit),
-			BoundTaskBytes: tuning.BoundTaskMaxBytes}
+		const longestName = len("vm-000000000")
+		limits := NewSizeLimits(int(limit*tuning.JSONShareOfValueLimit), longestName)
 		retries := tuning.MaxClassRetries
 		job := Job{SubmittedAtMs: submittedAtMs, Spec: wire.JobSpec{
 			ID: "run-00000000000000000001", Class: "c", Team: "t", Priority: wire.PriorityNormal, GPUs: 1,
@@ -99,3 +99,97 @@
 		}
 	})
 }
+
+// drawTasks draws tasks of a chunk in any state, with as many digits and as long machine names as occur.
+func drawTasks(t *rapid.T, job *Job, chunk, longestName int) []Task {
+	var tasks []Task
+	first, end := job.TaskRange(chunk)
+	for i := first; i < end; i++ {
+		task := Task{Index: i, Attempt: uint64(rapid.IntRange(1, 9999).Draw(t, "attempt"))}
+		task.State = rapid.SampledFrom([]TaskState{TaskPending, TaskBound, TaskBound, TaskDone}).Draw(t, "state")
+		if task.State == TaskBound {
+			task.Machine = fmt.Sprintf("%0*d", longestName, i)
+			task.Session, task.ChargedShard = uint64(rapid.IntRange(1, 999).Draw(t, "session")), 7
+		}
+		if job.Spec.MaxRetries != nil && task.State != TaskDone {
+			task.Failures = rapid.IntRange(0, *job.Spec.MaxRetries).Draw(t, "failures")
+		}
+		tasks = append(tasks, task)
+	}
+	return tasks
+}
+
+// TestOneBoundHoldsForAllChunks checks that the bound by which a layout is chosen holds for the chunks of gangs,
+// services and spread jobs in every state of their tasks, after a cancellation too, and that the bound of a written
+// record lies between the record's size and the former.
+func TestOneBoundHoldsForAllChunks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		longestName := rapid.IntRange(4, 40).Draw(t, "longest name")
+		limits := NewSizeLimits(int(rapid.Float64Range(2.3, 16).Draw(t, "KiB")*870), longestName)
+		job := Job{SubmittedAtMs: submittedAtMs, Spec: longSpecGang(rapid.IntRange(1, 3000).Draw(t, "tasks"))}
+		kinds := []wire.JobKind{wire.KindArray, wire.KindGang, wire.KindService}
+		job.Spec.Kind = rapid.SampledFrom(kinds).Draw(t, "kind")
+		job.Spec.Spread = job.Spec.Kind == wire.KindArray || rapid.Bool().Draw(t, "spread")
+		if rapid.Bool().Draw(t, "retry limit") {
+			retries := tuning.MaxClassRetries
+			job.Spec.MaxRetries = &retries
+		}
+		baseSize := EncodedBaseSize(job)
+		if limits.widthFor(&job.Spec, baseSize, limits.GroupedTaskBytes) == 0 {
+			t.Fatal("no chunk width fits")
+		}
+		job.ChunkWidth = limits.ChunkWidth(&job.Spec, baseSize)
+		chunk := rapid.IntRange(0, job.ChunkCount()-1).Draw(t, "chunk")
+		if !job.ChunkAlwaysFits(chunk, baseSize, limits) {
+			t.Fatalf("chunks of %d tasks don't fit in every state", job.ChunkWidth)
+		}
+		tasks := drawTasks(t, &job, chunk, longestName)
+		if rapid.Bool().Draw(t, "cancelled") {
+			job.MarkCancelled(submittedAtMs, true)
+		}
+		job.PreemptedAttempt = rapid.Uint64Range(0, 9999).Draw(t, "preempted attempt")
+		size, bound := wire.JSONSize(job.EncodeTasks(chunk, tasks).Value), job.MaxChunkSize(chunk, baseSize, tasks)
+		if size > bound || bound > limits.MaxBytes {
+			t.Errorf("record of %d bytes, its bound is %d, the limit %d", size, bound, limits.MaxBytes)
+		}
+	})
+}
+
+// TestEndsFitIntoFullRecord checks that a cancellation, an end and a failure of a task find space in a record that has
+// none for a further binding: they stay within the part of the value limit that bindings leave free.
+func TestEndsFitIntoFullRecord(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		valueLimit, longestName := 2048, len("vm-000231")
+		limits := NewSizeLimits(int(float64(valueLimit)*tuning.JSONShareOfValueLimit), longestName)
+		retries := tuning.MaxClassRetries
+		job := Job{SubmittedAtMs: submittedAtMs, Spec: longSpecGang(tuning.FixedChunkTasks)}
+		job.Spec.Kind, job.Spec.MaxRetries = wire.KindArray, &retries
+		baseSize := EncodedBaseSize(job)
+		job.ChunkWidth = limits.ChunkWidth(&job.Spec, baseSize)
+		perMachine := rapid.IntRange(1, 8).Draw(t, "tasks on a machine")
+		var tasks []Task
+		first, end := job.TaskRange(rapid.IntRange(0, job.ChunkCount()-1).Draw(t, "chunk"))
+		chunk := job.ChunkOf(first)
+		for i := first; i < end; i++ {
+			machine := fmt.Sprintf("vm-%06d", i/perMachine)
+			bound := Task{Index: i, State: TaskBound, Attempt: 1, Session: 1, Machine: machine}
+			if job.MaxChunkSize(chunk, baseSize, append(tasks, bound)) > limits.MaxBytes {
+				break
+			}
+			tasks = append(tasks, bound)
+		}
+		for i := range tasks {
+			switch rapid.SampledFrom([]string{"runs", "failed", "done"}).Draw(t, "task") {
+			case "failed":
+				tasks[i] = Task{Index: tasks[i].Index, Attempt: 1, Failures: retries}
+			case "done":
+				tasks[i] = Task{Index: tasks[i].Index, State: TaskDone, Attempt: 1}
+			}
+		}
+		job.MarkCancelled(submittedAtMs, true)
+		job.Failed = true
+		if size := wire.JSONSize(job.EncodeTasks(chunk, tasks).Value); size > valueLimit {
+			t.Errorf("record of %d bytes", size)
+		}
+	})
+}
--- a/internal/tuning/records.go
+++ b/internal/tuning/records.go
@@ -24,17 +24,29 @@
 	JSONShareOfValueLimit = 0.85
 	// MinChunkWidth is the smallest chunk width, in tasks, of a job with grouped chunks.
 	MinChunkWidth = 16
-	// BoundTaskMaxBytes is the maximum size of a bound task in a record, as JSON: state, attempt, machine, session,
-	// charged shard and index, each with more digits than occur in practice, and a machine name of up to
+	// BoundTaskMaxBytes is the maximum size of a bound task in a fixed chunk, as JSON: state, attempt, machine,
+	// session, charged shard and index, each with more digits than occur in practice, and a machine name of up to
 	// BoundTaskNameBytes bytes. The excess length of longer names has to be added.
 	BoundTaskMaxBytes  = 40
 	BoundTaskNameBytes = 20
+	// GroupedTaskMaxBytes is the maximum size of a task that forms a group of its own in a grouped chunk, as JSON:
+	// 17 bytes of separators, state and length of the index run, 14 digits of attempt, session, charged shard and
+	// index, and a machine name of up to GroupedTaskNameBytes bytes. The excess length of longer names has to be added.
+	GroupedTaskMaxBytes  = 40
+	GroupedTaskNameBytes = 9
 	// BoundTaskTypicalBytes is the typical size of a bound array task in a record, as JSON, where tasks on the same
 	// machine form one group. If the tasks are on more machines, fewer of them can be bound at the same time.
 	BoundTaskTypicalBytes = 20
 	// RetryCountMaxBytes is the maximum size of a task's entry in the failure list of a record, as JSON: the index of
 	// the task and its number of failures.
 	RetryCountMaxBytes = 12
+	// NarrowingTimeout is how long the chunks of a job are not written otherwise while they wait to be replaced by
+	// narrower ones, that is until the changes in flight have ended.
+	NarrowingTimeout = time.Second
+	// NarrowingInterval is the minimum time between two attempts to replace the chunks of a job by narrower ones.
+	NarrowingInterval = 2 * time.Second
+	// FullChunkRecheckInterval is how long a chunk without space counts as full while its record doesn't change.
+	FullChunkRecheckInterval = 5 * time.Second
 	// MigrationsPerCycle is the maximum number of migration steps in one scheduling cycle, each of which migrates one
 	// record. It is also the maximum number of chunks without a record that one step skips. Together with
 	// MigrationInterval it leaves enough of the request budget for submissions.
