clusterstate: a job's full records can be replaced by more, narrower ones

Need: a job whose record is full can't be helped by a better first guess: those that the version before accepted, arrays whose tasks run for hours, values that grow with time. A record is to be split where it is full, and nowhere else. The records keep their keys and hold other tasks afterwards. A reader that receives a further record before the job's own would lose its tasks; it now keeps what is out of the range of the present layout until the layout follows.

--- a/internal/clusterstate/chunks.go
+++ b/internal/clusterstate/chunks.go
@@ -1,6 +1,10 @@
 package clusterstate
 
-import "sableusher/internal/record"
+import (
+	"slices"
+
+	"sableusher/internal/record"
+)
 
 // A transaction may change a job's own record and the records of its further chunks together, but the watch delivers
 // these changes one after another. A chunk that is not part of the layout in the job's own record is therefore kept as
@@ -86,7 +90,8 @@
 	}
 	s.changes.markJob(id)
 	job := s.jobEntry(id)
-	if chunk, ok := job.ChunkIndexOf(change.key); ok && job.HasRecord {
+	if chunk, ok := job.ChunkIndexOf(change.key); ok && job.HasRecord && job.chunkHolds(chunk, tasks) {
+		delete(job.orphanChunks, change.key) // of a former layout
 		s.setChunk(job, chunk, tasks, change.modRevision)
 		s.updateDependents(id)
 		return
@@ -111,11 +116,21 @@
 	s.removeIfEmpty(id, job)
 }
 
+// chunkHolds reports whether all tasks of a record are in the range of a chunk. They are not if the record was written
+// in a layout that is not, or no longer, the one in the job's own record.
+func (j *Job) chunkHolds(chunk int, tasks []record.Task) bool {
+	first, end := j.TaskRange(chunk)
+	return !slices.ContainsFunc(tasks, func(task record.Task) bool { return task.Index < first || task.Index >= end })
+}
+
+// addOrphan keeps an orphaned chunk, unless a newer one with the same key is kept.
 func (j *Job) addOrphan(key string, orphan orphanChunk) {
 	if j.orphanChunks == nil {
 		j.orphanChunks = map[string]orphanChunk{}
 	}
-	j.orphanChunks[key] = orphan
+	if j.orphanChunks[key].modRevision <= orphan.modRevision {
+		j.orphanChunks[key] = orphan
+	}
 }
 
 // detachChunks removes all chunks of a job from the indexes and keeps the further chunks as orphans. It is called
@@ -135,7 +150,7 @@
 // adoptChunks applies the orphaned chunks that are part of the job's layout.
 func (s *State) adoptChunks(job *Job) {
 	for key, orphan := range job.orphanChunks {
-		if chunk, ok := job.ChunkIndexOf(key); ok {
+		if chunk, ok := job.ChunkIndexOf(key); ok && job.chunkHolds(chunk, orphan.tasks) {
 			delete(job.orphanChunks, key)
 			s.setChunk(job, chunk, orphan.tasks, orphan.modRevision)
 		}
--- a/internal/clusterstate/jobs.go
+++ b/internal/clusterstate/jobs.go
@@ -114,6 +114,14 @@
 	return chunk < len(j.Chunks) && len(j.Chunks[chunk].Tasks) > 0 && j.Chunks[chunk].pendingCount == 0
 }
 
+// ChunkPendingCount returns the number of pending tasks of a chunk that has a record.
+func (j *Job) ChunkPendingCount(chunk int) int {
+	if chunk >= len(j.Chunks) || len(j.Chunks[chunk].Tasks) == 0 {
+		return 0
+	}
+	return j.Chunks[chunk].pendingCount
+}
+
 // HasStarted reports whether any task of the job was ever bound.
 func (j *Job) HasStarted() bool {
 	return slices.ContainsFunc(j.Chunks, func(chunk Chunk) bool {
--- a/internal/clusterstate/jobwrites.go
+++ b/internal/clusterstate/jobwrites.go
@@ -59,11 +59,11 @@
 
 // chunkCondition returns the condition that the record of a further chunk has not changed.
 func (j *Job) chunkCondition(chunk int) wire.Condition {
-	return wire.Condition{Key: j.ChunkKey(chunk), ModRevision: j.chunkModRevision(chunk)}
+	return wire.Condition{Key: j.ChunkKey(chunk), ModRevision: j.ChunkModRevision(chunk)}
 }
 
-// chunkModRevision returns the mod revision of a chunk's record, or 0 if there is none.
-func (j *Job) chunkModRevision(chunk int) uint64 {
+// ChunkModRevision returns the mod revision of a chunk's record, or 0 if there is none.
+func (j *Job) ChunkModRevision(chunk int) uint64 {
 	if chunk < len(j.Chunks) {
 		return j.Chunks[chunk].ModRevision
 	}
--- a/internal/clusterstate/migration_test.go
+++ b/internal/clusterstate/migration_test.go
@@ -93,10 +93,8 @@
 
 func newMigrationModel(t *rapid.T) *migrationModel {
 	m := &migrationModel{
-		store: newRecordStore(),
-		limits: record.SizeLimits{
-			MaxBytes: rapid.IntRange(900, 16000).Draw(t, "max bytes"), BoundTaskBytes: tuning.BoundTaskMaxBytes,
-		},
+		store:  newRecordStore(),
+		limits: record.NewSizeLimits(rapid.IntRange(900, 16000).Draw(t, "max bytes"), len("vm-000000")),
 		spec: wire.JobSpec{
 			ID: "run-7", Class: "c", Team: "t", Priority: wire.PriorityNormal, GPUs: 1,
 			Kind:      rapid.SampledFrom([]wire.JobKind{wire.KindArray, wire.KindGang}).Draw(t, "kind"),
@@ -108,6 +106,9 @@
 		m.spec.MaxRetries = new(int)
 	}
 	job := record.Job{Spec: m.spec, SubmittedAtMs: 1764600000000}
+	if rapid.Bool().Draw(t, "grouped from the start") {
+		job.ChunkWidth = m.limits.ChunkWidth(&job.Spec, record.EncodedBaseSize(job))
+	}
 	m.store.commit(t, nil, []wire.Op{{PutKey: record.JobKey(m.spec.ID), Value: wire.MustEncode(job)}})
 	return m
 }
@@ -193,6 +194,29 @@
 	}
 }
 
+// narrow replaces the job's chunks by narrower ones, immediately or as a delayed write, if that is possible.
+func (m *migrationModel) narrow(t *rapid.T) {
+	limits := TransactionLimits{Ops: rapid.IntRange(2, 32).Draw(t, "ops"), Conditions: 128, Bytes: 64 << 10}
+	job := m.job()
+	step, ok := job.NarrowChunks(m.limits, limits)
+	if !ok {
+		return
+	}
+	if len(step.Ops) > limits.Ops || len(step.Conditions) > limits.Conditions {
+		t.Fatalf("%d operations and %d conditions in one step", len(step.Ops), len(step.Conditions))
+	}
+	if rapid.Bool().Draw(t, "delayed") {
+		m.delayed = append(m.delayed, taskWrite{conditions: step.Conditions, ops: step.Ops})
+		return
+	}
+	if !m.store.commit(t, step.Conditions, step.Ops) {
+		t.Fatal("a narrowing based on the current state failed")
+	}
+	if narrowed := m.job(); len(narrowed.orphanChunks) != 0 {
+		t.Fatalf("%d orphaned chunks are left after chunks were narrowed", len(narrowed.orphanChunks))
+	}
+}
+
 // check compares the tasks and counts in a state with the model.
 func (m *migrationModel) check(t *rapid.T, state *State) {
 	job := state.Jobs[m.spec.ID]
@@ -229,22 +253,25 @@
 	}
 }
 
-// TestMigrationUnderConcurrentWrites changes tasks of jobs of all sizes and layouts while their chunks are migrated.
-// Writers may commit after a delay, when the layout has already changed. The test compares each state with a map of the
-// tasks: no write is lost or applied twice. A written chunk takes no more than Job.MaxChunkSize, the bound by which the
-// scheduler keeps chunks within the value limit. A step has at most tuning.MinUpcomingTxnOps operations. A migration
-// that has begun can be completed and leaves no chunk of the old layout.
+// TestMigrationUnderConcurrentWrites changes tasks of jobs of all sizes and layouts while their chunks are migrated, or
+// become narrower and keep their keys. Writers may commit after a delay, when the layout has already changed. The test
+// compares each state with a map of the tasks: no write is lost or applied twice. A written chunk takes no more than
+// Job.MaxChunkSize, the bound by which the scheduler keeps chunks within the value limit. A step has at most
+// tuning.MinUpcomingTxnOps operations. A migration that has begun can be completed and leaves no chunk of the old
+// layout.
 func TestMigrationUnderConcurrentWrites(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		model := newMigrationModel(t)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
 			case 0, 1:
 				model.writeTasks(t)
 			case 2:
 				model.migrate(t, true)
 			case 3:
 				model.applyDelayed(t)
+			case 4:
+				model.narrow(t)
 			}
 			model.check(t, model.store.state)
 			model.check(t, model.store.reload(t))
--- a/internal/golden/fill_test.go
+++ b/internal/golden/fill_test.go
@@ -22,20 +22,34 @@
 	return []message{{name + "/empty", empty}, {name + "/every-field", full}}
 }
 
-// filledSinceVersion is like filled for a type to which a field was later added at the end. The message "every-field"
-// leaves the added field empty, so that its recorded encoding stays the same. A third message has the added field set,
-// too.
-func filledSinceVersion[T any](t *testing.T, name, added string, clearAdded func(*T)) []message {
+// addedField is a field that was added at the end of a type T after the first version.
+type addedField[T any] struct {
+	name  string
+	clear func(*T)
+}
+
+// filledSinceVersion is like filled for a type to which fields were added later, given in the order in which they were
+// added. The message "every-field" leaves them empty, so that its recorded encoding stays the same. For each of them
+// there is a further message, in which it and the fields added before it are set, too.
+func filledSinceVersion[T any](t *testing.T, name string, added ...addedField[T]) []message {
 	t.Helper()
 	messages := filled[T](t, name)
-	full := messages[1].value
-	before, ok := full.(T)
+	full, ok := messages[1].value.(T)
 	if !ok {
-		t.Fatalf("%s: a message of type %T", name, full)
+		t.Fatalf("%s: a message of type %T", name, messages[1].value)
+	}
+	filledUpTo := func(count int) T {
+		value := full
+		for _, field := range added[count:] {
+			field.clear(&value)
+		}
+		return value
+	}
+	messages[1].value = filledUpTo(0)
+	for i, field := range added {
+		messages = append(messages, message{name + "/every-field-with-" + field.name, filledUpTo(i + 1)})
 	}
-	clearAdded(&before)
-	messages[1].value = before
-	return append(messages, message{name + "/every-field-with-" + added, full})
+	return messages
 }
 
 // fill sets v and, recursively, all of its parts. Slices get two elements. Maps get one entry, because their order is
--- a/internal/golden/records_test.go
+++ b/internal/golden/records_test.go
@@ -110,7 +110,8 @@
 // TestRecords checks that the durable records keep their encoding.
 func TestRecords(t *testing.T) {
 	checkCBOR(t, "records.txt", slices.Concat(jobRecords(),
-		filledSinceVersion(t, "job", "cancel-request", func(j *record.Job) { j.CancelRequestedAtMs = 0 }),
+		filledSinceVersion(t, "job",
+			addedField[record.Job]{"cancel-request", func(j *record.Job) { j.CancelRequestedAtMs = 0 }}),
 		filled[record.Transfer](t, "transfer"),
 		filled[record.Cell](t, "cell"),
 		filled[record.TransferOutcome](t, "ended-guest"),
@@ -119,7 +120,9 @@
 		filled[record.SchemaVersion](t, "schema-version"),
 		filled[record.Machine](t, "machine"),
 		filled[record.Shard](t, "shard"),
-		filledSinceVersion(t, "node", "cancel-request", func(n *record.Node) { n.HonorsCancelRequests = false }),
+		filledSinceVersion(t, "node",
+			addedField[record.Node]{"cancel-request", func(n *record.Node) { n.HonorsCancelRequests = false }},
+			addedField[record.Node]{"narrowed-chunks", func(n *record.Node) { n.ReadsNarrowedChunks = false }}),
 		filled[record.Quota](t, "quota"),
 		filled[record.Rental](t, "rental"),
 		filled[record.Final](t, "final"),
--- a/internal/membership/session.go
+++ b/internal/membership/session.go
@@ -33,6 +33,7 @@
 		nodeName: config.NodeName,
 		record: record.Node{
 			Incarnation: config.Incarnation, SchemaVersion: config.SchemaVersion, HonorsCancelRequests: true,
+			ReadsNarrowedChunks: true,
 		},
 		client:       config.Client,
 		committer:    config.Committer,
--- a/internal/record/membership.go
+++ b/internal/record/membership.go
@@ -36,6 +36,9 @@
 	// HonorsCancelRequests means that the node's process starts no tasks of a job with Job.CancelRequestedAtMs and
 	// stops the tasks it has bound, whichever schema version is active.
 	HonorsCancelRequests bool `cbor:"x,omitempty"`
+	// ReadsNarrowedChunks means that the node's process loses no task of a job whose chunks become narrower and keep
+	// their keys, in whatever order it receives the changes of the records.
+	ReadsNarrowedChunks bool `cbor:"w,omitempty"`
 }
 
 // SchemaVersion is the record of the newest schema version in which records may be written. The version is only ever
