scheduler: split the records of a job where they have no space for a binding

The operator saw 'record full' at debug level alone, and machines were rented, and other tasks stopped, for tasks that no record had space for. Cause: a job's width is chosen once, by a guess, and nothing but the end of a task gave a full record space. Beside it: the first binding of a cycle set the record's size to that binding alone, so that one cycle put up to 60 bindings into a record whatever it held before (why the case varied), above the bound of 1,740 bytes. Change: a chunk that is full by its exact size, not by the sum of estimates, has its job's chunks replaced by narrower ones (clusterstate.Job.NarrowChunks) as soon as no change of them is in flight; until then, for at most a second, the job's records are not written otherwise. A record that holds each of its tasks in any state is not measured at all. Where the records can't be split (more of them than a transaction holds, a node of the version before), the tasks wait, count neither as demand nor for preemption, and show in the gauge sableusher_record_full_tasks; looked at again every 5 s. A spread job's chunks may exceed their limits on zones once they are narrower. Then the job's limit alone counts, and a binding is conditional on all records of the job and writes the job's own, so that it excludes others.

--- a/internal/scheduler/bind.go
+++ b/internal/scheduler/bind.go
@@ -49,12 +49,18 @@
 }
 
 // bindSpread binds pending tasks of a spread job to the picked machines, in each chunk within the chunk's limits on
-// zones.
+// zones. If the chunks have no limits of their own, it binds tasks of one chunk only.
 func (b *taskBinder) bindSpread(picks []*binpack.MachineInfo) {
-	spread := b.spreadOf(b.queued.job)
-	spread.chunks = slices.DeleteFunc(spread.chunks, func(chunk spreadChunk) bool {
-		return !b.hasSpace(chunk.number, picks[0].Machine.Name)
-	})
+	job := b.queued.job
+	spread := b.spreadOf(job)
+	spread.chunks = slices.DeleteFunc(spread.chunks, func(chunk spreadChunk) bool { return !b.hasSpace(chunk.number) })
+	if b.narrowings.requested(job.Spec.ID) {
+		return // a binding in another chunk would delay it
+	}
+	if spread.limitsOfJobOnly {
+		b.bindWithinJobLimit(spread, picks)
+		return
+	}
 	picksByChunk := spread.distribute(picks)
 	for i := range spread.chunks {
 		chunk := spread.chunks[i].number
@@ -64,14 +70,28 @@
 	}
 }
 
-// hasSpace reports whether a further task of a chunk can be bound to a machine now.
-func (b *taskBinder) hasSpace(chunk int, machine string) bool {
+// bindWithinJobLimit binds pending tasks of one chunk of a spread job to the picked machines, which are within the
+// job's limit on zones. The change excludes all other changes that bind tasks of the job.
+func (b *taskBinder) bindWithinJobLimit(spread *jobSpread, picks []*binpack.MachineInfo) {
+	job := b.queued.job
+	if len(spread.chunks) == 0 || b.changes.inFlight(job.ChunkKey(0)) {
+		return
+	}
+	key := chunkKey{job: job, chunk: spread.chunks[0].number}
+	b.bindChunk(key.chunk, picks)
+	if edit := b.chunkEdits[key]; edit != nil && len(edit.bindings) > 0 {
+		edit.excludesOthers = true
+	}
+}
+
+// hasSpace reports whether a further task of a chunk can be bound now.
+func (b *taskBinder) hasSpace(chunk int) bool {
 	job := b.queued.job
 	if !b.chunkBindable(job, chunk) {
 		return false
 	}
-	if b.chunkFull(job, chunk, 1, machine) {
-		b.logWaiting(job, waitRecordFull, nil)
+	if b.chunkFull(job, chunk, 1) {
+		b.narrowOrWait(job, chunk)
 		return false
 	}
 	return true
@@ -95,9 +115,9 @@
 		if b.examinable == 0 {
 			return picks, false
 		}
-		if b.chunkFull(job, chunk, 1, picks[0].Machine.Name) {
-			b.logWaiting(job, waitRecordFull, nil)
-			return picks, true
+		if b.chunkFull(job, chunk, 1) {
+			narrowing := b.narrowOrWait(job, chunk)
+			return picks, !narrowing // a binding in another chunk would delay the narrowing
 		}
 		b.examinable--
 		if !b.bindTask(b.queued, newTaskStart(task, job.Spec.ID, task.Attempt+1, picks[0], b.charged)) {
@@ -153,14 +173,12 @@
 		c.logWaiting(job, waitChangeInFlight, nil)
 		return false
 	}
-	edit.tasks[start.task.Index] = c.boundTask(start)
 	edit.shards[start.charged] = true
 	edit.shards[machine.Shard] = true
-	edit.encodedSize += maxBindingBytes(machine.Name)
 	pending := inFlightBinding{
 		task: start.task, machine: machine.Name, chargedShard: start.charged, team: job.Spec.Team, need: queued.Need,
 	}
-	edit.bindings = append(edit.bindings, pending)
+	edit.addBinding(c.boundTask(start), pending, c.cluster.SizeLimits(0).GroupedTaskBytes)
 	c.inFlight.add(pending)
 	c.tasksBound++
 	c.recordDecision(queued, pending, start.attempt)
--- a/internal/scheduler/chunkedit.go
+++ b/internal/scheduler/chunkedit.go
@@ -3,7 +3,6 @@
 import (
 	"sableusher/internal/clusterstate"
 	"sableusher/internal/record"
-	"sableusher/internal/tuning"
 )
 
 // chunkKey identifies a chunk of a job: one of the records that its tasks are distributed over. Chunk 0 is in the
@@ -19,8 +18,11 @@
 	tasks       map[int]record.Task // state after the edit, by task index
 	shards      map[int]bool        // shards whose ownership is a condition of the edit
 	bindings    []inFlightBinding
-	encodedSize int  // size of the edited chunk as JSON, in bytes; 0 if not computed yet
+	encodedSize int  // at most; size of the edited chunk as JSON, in bytes; 0 if not computed yet
 	failsJob    bool // a task of the chunk has failed with no retry left
+	// excludesOthers means that no other change of the job's tasks may be applied between the state that the edit is
+	// based on and the edit, and that none based on that state may be applied after it.
+	excludesOthers bool
 }
 
 // editChunk returns this cycle's edit of the chunk that holds a task, and creates it if there is none. It returns nil
@@ -62,20 +64,28 @@
 
 // chunkFull reports whether a chunk has no space for the given number of additional bound tasks. Without this check,
 // a key-value store with a small value limit would reject the change of the chunk again and again.
-func (c *cycle) chunkFull(job *clusterstate.Job, chunk, added int, machine string) bool {
-	limit := c.committer.MaxRecordBytes()
-	if c.cluster.SizeLimits(limit).FixedChunksFit(&job.Spec, job.EncodedBaseSize) {
+func (c *cycle) chunkFull(job *clusterstate.Job, chunk, added int) bool {
+	limits := c.cluster.SizeLimits(c.committer.MaxRecordBytes())
+	if job.ChunkAlwaysFits(chunk, job.EncodedBaseSize, limits) {
 		return false
 	}
 	edit := c.chunkEdits[chunkKey{job: job, chunk: chunk}]
 	if edit == nil {
 		edit = &chunkEdit{} // this cycle has not edited the chunk
 	}
-	if edit.encodedSize == 0 {
-		edit.encodedSize = job.MaxChunkSize(chunk, edit.tasks)
+	addedBytes := added * limits.GroupedTaskBytes
+	if edit.encodedSize > 0 && edit.encodedSize+addedBytes <= limits.MaxBytes {
+		return false
 	}
-	return edit.encodedSize+added*maxBindingBytes(machine) > limit
+	edit.encodedSize = job.MaxChunkSize(chunk, edit.tasks)
+	return edit.encodedSize+addedBytes > limits.MaxBytes
 }
 
-// maxBindingBytes returns the most bytes that binding a task to a machine adds to its chunk as JSON.
-func maxBindingBytes(machine string) int { return len(machine) + tuning.BoundTaskMaxBytes/2 }
+// addBinding adds the binding of a task to an edit. taskBytes is the most that the binding adds to the chunk.
+func (e *chunkEdit) addBinding(task record.Task, binding inFlightBinding, taskBytes int) {
+	e.tasks[task.Index] = task
+	e.bindings = append(e.bindings, binding)
+	if e.encodedSize > 0 {
+		e.encodedSize += taskBytes
+	}
+}
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -62,6 +62,7 @@
 
 	changes      changeTracker
 	migration    migrationSchedule
+	narrowings   chunkNarrowings
 	shardTenure  shardTenure
 	quota        *quota.GrantManager
 	reservations reservationTable
@@ -95,6 +96,7 @@
 		wakeup:        make(chan struct{}, 1),
 		changes:       newChangeTracker(),
 		migration:     newMigrationSchedule(),
+		narrowings:    newChunkNarrowings(),
 		shardTenure:   shardTenure{},
 		quota:         quota.New(c.Settings.Deployment.Teams, c.ClusterState),
 		reservations:  reservationTable{},
--- a/internal/scheduler/filter.go
+++ b/internal/scheduler/filter.go
@@ -12,13 +12,14 @@
 )
 
 // countPlaceable sets how many tasks of a job may be placed in this cycle: its pending tasks that are neither in
-// flight nor in retry backoff, up to its team's limit. It adds them to the team's usage. It also marks the job as
-// deferred if bindings are throttled and the job is of normal or low priority.
+// flight nor in retry backoff and for which their chunk has space, up to its team's limit. It adds them to the team's
+// usage. It also marks the job as deferred if bindings are throttled and the job is of normal or low priority.
 func (c *cycle) countPlaceable(queued *queuedJob, usage map[string]record.Resources) {
 	job, spec := queued.job, &queued.job.Spec
 	retrying := c.countTasksInRetryBackoff(job)
-	queued.Remaining = max(0, job.PendingCount()-c.inFlight.tasksByJob[spec.ID]-retrying)
-	if c.failingJobs[spec.ID] || retrying > 0 && spec.Kind == wire.KindGang {
+	withoutSpace := c.tasksInFullChunks(job)
+	queued.Remaining = max(0, job.PendingCount()-c.inFlight.tasksByJob[spec.ID]-retrying-withoutSpace)
+	if c.failingJobs[spec.ID] || retrying+withoutSpace > 0 && spec.Kind == wire.KindGang {
 		queued.Remaining = 0 // a gang starts with all of its tasks or not at all
 	}
 	queued.deferred = c.bindingsThrottled && !isHighPriority(queued.rank)
--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -37,13 +37,31 @@
 	cluster  *clusterstate.State
 	engines  []*Engine
 	agents   []*agent.Registry
+	kvLimits kvstore.Limits
 	revision uint64
+	// modRevisions holds the revisions of the records that were put or written by changes, by key.
+	modRevisions map[string]uint64
+	// largestRecord is the size of the largest record that a change has written, in bytes of its JSON form.
+	largestRecord int
 }
 
+// Limits of the key-value store.
+var (
+	usualLimits   = kvstore.Limits{RequestsPerSecond: 1, WritesPerSecond: 1, MaxValueKiB: 16, MaxTransactionOps: 32}
+	loweredLimits = kvstore.Limits{RequestsPerSecond: 1, WritesPerSecond: 1, MaxValueKiB: 2, MaxTransactionOps: 10}
+)
+
 // newTestCluster returns a cluster without machines and jobs. tb may be nil within a property test.
-func newTestCluster(tb testing.TB) *testCluster {
+func newTestCluster(tb testing.TB) *testCluster { return newTestClusterWithLimits(tb, usualLimits) }
+
+// newTestClusterWithLimits is newTestCluster with the given limits of the key-value store.
+func newTestClusterWithLimits(tb testing.TB, limits kvstore.Limits) *testCluster {
 	testNow = time.Now()
-	fixture := &testCluster{cluster: clusterstate.New(testShards, slog.New(slog.DiscardHandler))}
+	fixture := &testCluster{
+		cluster: clusterstate.New(testShards, slog.New(slog.DiscardHandler)), kvLimits: limits,
+		modRevisions: map[string]uint64{},
+	}
+	fixture.cluster.SchemaVersion = tuning.SchemaVersion
 	operator, err := config.LoadOperator("")
 	if err != nil {
 		tb.Fatal(err)
@@ -53,7 +71,7 @@
 	for shard := range testShards {
 		node := fmt.Sprintf("node-%d", shard)
 		nodes = append(nodes, node)
-		fixture.cluster.Nodes[node] = clusterstate.Node{Node: record.Node{Incarnation: 1}}
+		fixture.cluster.Nodes[node] = clusterstate.Node{Node: record.Node{Incarnation: 1, ReadsNarrowedChunks: true}}
 		fixture.own(shard, node)
 	}
 	fixture.own(record.LeaderShard, nodes[0])
@@ -74,13 +92,17 @@
 func (f *testCluster) addNode(node string, nodes []string, operator *config.Operator) {
 	log := slog.New(slog.DiscardHandler)
 	settings := &config.Settings{Node: node}
+	for _, name := range nodes {
+		if name != node {
+			settings.Peers = append(settings.Peers, config.Peer{Node: name})
+		}
+	}
 	deployment := &settings.Deployment
 	deployment.NodeCount = testShards
 	deployment.Teams = []config.Team{{Name: "t"}}
 	deployment.Workers.ReportS, deployment.Workers.LeaseS, deployment.Workers.CancelS = 8, 45, 65
-	deployment.State.TxnOps = 32
-	limits := kvstore.Limits{RequestsPerSecond: 1, WritesPerSecond: 1, MaxValueKiB: 16, MaxTransactionOps: 32}
-	client := kvstore.NewClient("127.0.0.1:1", limits, nil)
+	deployment.State.TxnOps = f.kvLimits.MaxTransactionOps
+	client := kvstore.NewClient("127.0.0.1:1", f.kvLimits, nil)
 	committer := kvstore.NewCommitter(client, func([]wire.Op, uint64) {})
 	members := membership.New(membership.Config{
 		NodeName: node, Incarnation: 1, NodeNames: nodes, SchemaVersion: tuning.SchemaVersion,
@@ -103,6 +125,7 @@
 	f.revision++
 	f.cluster.BeginUpdate()
 	f.cluster.Put(key, wire.MustEncode(value), f.revision)
+	f.modRevisions[key] = f.revision
 	f.cluster.EndUpdate()
 }
 
@@ -110,6 +133,7 @@
 func (f *testCluster) delete(key string) {
 	f.cluster.BeginUpdate()
 	f.cluster.Delete(key)
+	delete(f.modRevisions, key)
 	f.cluster.EndUpdate()
 }
 
@@ -155,6 +179,7 @@
 	c := f.inCycle(index, func(c *cycle) {
 		c.schedule()
 		c.buildChanges()
+		c.migrateRecords()
 	})
 	var bindings []inFlightBinding
 	for _, change := range c.outgoing {
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -141,8 +141,8 @@
 			c.logWaiting(job, waitChangeInFlight, nil)
 			return false
 		}
-		if c.chunkFull(job, chunk, bindings, picks[0].Machine.Name) {
-			c.logWaiting(job, waitRecordFull, nil)
+		if c.chunkFull(job, chunk, bindings) {
+			c.narrowOrWait(job, chunk)
 			return false
 		}
 	}
--- a/internal/scheduler/prune.go
+++ b/internal/scheduler/prune.go
@@ -9,6 +9,8 @@
 	c.demand.prune(jobs)
 	c.backoffs.prune(hasEnded)
 	c.waitLog.prune(hasEnded)
+	c.narrowings.prune(c.now, hasEnded)
+	c.reportFullChunks()
 	c.gangFormation.prune(hasEnded)
 	c.changes.pruneRejected(c.now)
 	c.deletedMachines.pruneTombstones(c.now)
--- a/internal/scheduler/recordmigration.go
+++ b/internal/scheduler/recordmigration.go
@@ -18,8 +18,11 @@
 })
 
 // needsMigration reports whether a job's records have to be migrated before they are written again. If so, it
-// requests the migration.
+// requests the migration, unless that of the chunks to a smaller width is requested already.
 func (c *cycle) needsMigration(job *clusterstate.Job) bool {
+	if c.narrowings.requested(job.Spec.ID) {
+		return true
+	}
 	if c.cluster.SchemaVersion < tuning.SchemaVersionDependencies ||
 		!job.NeedsMigration(c.cluster.SizeLimits(c.committer.MaxRecordBytes())) {
 		return false
@@ -46,6 +49,9 @@
 	for id := range c.migration.requested {
 		migrator.migrate(id)
 	}
+	for id := range c.narrowings.requestedAt {
+		migrator.narrow(id)
+	}
 	if c.migration.backgroundDue(c.now) && c.committer.QueueLength() < tuning.StoreSaturatedQueueLength {
 		c.migration.lastBackground = c.now
 		migrator.migrateInBackground()
@@ -79,6 +85,29 @@
 		m.logWaiting(job, waitRecordMigration, nil)
 		return
 	}
+	m.add(id, step)
+}
+
+// narrow adds the change that replaces a job's chunks by narrower ones, if that is possible in this cycle. The change
+// is tried once; whoever still needs it requests it again.
+func (m *recordMigrator) narrow(id string) {
+	job := m.cluster.Jobs[id]
+	if job == nil || !job.CanStart() {
+		m.narrowings.finish(id)
+		return
+	}
+	if m.changes.inFlight(record.JobKey(id)) || m.migrated >= tuning.MigrationsPerCycle || m.anyChunkChanging(job) {
+		return
+	}
+	m.narrowings.finish(id)
+	if step, ok := m.narrowedChunks(job); ok {
+		m.log.Info("records of a job split", "job_id", id, "count", len(step.Ops))
+		m.add(id, step)
+	}
+}
+
+// add adds the change for a step of a job's migration.
+func (m *recordMigrator) add(id string, step clusterstate.Migration) {
 	m.migrated++
 	migrationSteps.Inc()
 	change := &recordChange{
--- a/internal/scheduler/spread.go
+++ b/internal/scheduler/spread.go
@@ -10,6 +10,10 @@
 // chunks at the same time, and then don't see each other's bindings. Each chunk therefore has a limit of its own: half
 // of its tasks, rounded up. All chunks but the last have an even number of tasks, so the limits of the chunks add up to
 // the limit of the job.
+//
+// If the chunks of a job were replaced by narrower ones while tasks were bound, a chunk may have more tasks in a zone
+// than its limit. Then only the limit of the job counts, and each change that binds tasks is conditional on all records
+// of the job and writes the job's own record, so that no two nodes bind tasks at the same time.
 
 // spreadLimit returns how many of the given number of tasks may be in one zone.
 func spreadLimit(tasks int) int { return (tasks + 1) / 2 }
@@ -32,6 +36,16 @@
 	z.byZone[machine.Zone]++
 }
 
+// exceeds reports whether more tasks than the limit are known to be in one zone.
+func (z *zoneCount) exceeds(limit int) bool {
+	for _, tasks := range z.byZone {
+		if tasks > limit {
+			return true
+		}
+	}
+	return false
+}
+
 // most returns the largest number of the tasks that may be in a zone.
 func (z *zoneCount) most(zone string) int { return z.byZone[zone] + z.unknown }
 
@@ -53,6 +67,8 @@
 	limit  int // of tasks of the job in one zone
 	bound  zoneCount
 	chunks []spreadChunk // in order of their numbers
+	// limitsOfJobOnly means that the chunks have no limits of their own, because one of them exceeds its limit.
+	limitsOfJobOnly bool
 }
 
 // spreadOf returns where those pending tasks of a spread job may be placed that are not in retry backoff and whose
@@ -75,6 +91,12 @@
 		if chunk.pending > 0 {
 			spread.chunks = append(spread.chunks, chunk)
 		}
+		spread.limitsOfJobOnly = spread.limitsOfJobOnly || chunk.bound.exceeds(chunk.limit)
+	}
+	if spread.limitsOfJobOnly {
+		for i := range spread.chunks {
+			spread.chunks[i].limit = spread.limit
+		}
 	}
 	return spread
 }
--- a/internal/scheduler/spread_test.go
+++ b/internal/scheduler/spread_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -13,8 +14,10 @@
 	"sableusher/internal/wire"
 )
 
-// tasksPerMachine is how many tasks of spreadSpec fit on a machine.
-const tasksPerMachine = 4
+const (
+	tasksPerMachine   = 4    // how many tasks of spreadSpec fit on a machine
+	maxMachinesInZone = 1000 // that addMachinesInZone may add
+)
 
 // spreadSpec returns a spread job whose tasks use a quarter of a machine each.
 func spreadSpec(kind wire.JobKind, priority wire.Priority, tasks int) wire.JobSpec {
@@ -38,24 +41,44 @@
 
 // addMachinesInZone adds machines in one of the testZones. Their names begin after those of other zones.
 func (f *testCluster) addMachinesInZone(zone, count int) {
-	const maxMachinesInZone = 1000
 	for i := range count {
 		f.addMachine((zone*maxMachinesInZone+i)*len(testZones)+zone, false)
 	}
 }
 
-// apply applies the changes of a cycle to the cluster state.
+// apply applies those changes of a cycle to the cluster state whose conditions hold.
 func (f *testCluster) apply(c *cycle) {
 	f.revision++
 	f.cluster.BeginUpdate()
 	defer f.cluster.EndUpdate()
 	for _, change := range c.outgoing {
-		for _, op := range change.transaction.Ops {
-			f.cluster.Put(op.PutKey, op.Value, f.revision)
+		if f.conditionsHold(change.transaction.Conditions) {
+			f.applyOps(change.transaction.Ops)
 		}
 	}
 }
 
+// conditionsHold reports whether the records of a transaction's conditions have the expected revisions.
+func (f *testCluster) conditionsHold(conditions []wire.Condition) bool {
+	return !slices.ContainsFunc(conditions, func(condition wire.Condition) bool {
+		return f.modRevisions[condition.Key] != condition.ModRevision
+	})
+}
+
+// applyOps applies the operations of a transaction.
+func (f *testCluster) applyOps(ops []wire.Op) {
+	for _, op := range ops {
+		if op.PutKey == "" {
+			f.cluster.Delete(op.DeleteKey)
+			delete(f.modRevisions, op.DeleteKey)
+			continue
+		}
+		f.cluster.Put(op.PutKey, op.Value, f.revision)
+		f.modRevisions[op.PutKey] = f.revision
+		f.largestRecord = max(f.largestRecord, wire.JSONSize(op.Value))
+	}
+}
+
 // scheduleUntilSettled runs cycles of all nodes until none of them has bound a task for so long that each has had its
 // turn to place tasks outside of their home shard.
 func (f *testCluster) scheduleUntilSettled() {
@@ -77,6 +100,9 @@
 func (f *testCluster) tasksByZone(job *clusterstate.Job) (inJob map[string]int, byChunk []map[string]int) {
 	inJob, byChunk = map[string]int{}, make([]map[string]int, job.ChunkCount())
 	job.ForEachStartedTask(func(task record.Task) {
+		if task.State != record.TaskBound {
+			return
+		}
 		zone, chunk := f.cluster.Machines[task.Machine].Zone, job.ChunkOf(task.Index)
 		if byChunk[chunk] == nil {
 			byChunk[chunk] = map[string]int{}
--- a/internal/scheduler/taskchange.go
+++ b/internal/scheduler/taskchange.go
@@ -52,6 +52,7 @@
 	doneCount       int               // done tasks of the job after the change
 	boundCount      int               // bound tasks of the job after the change
 	writesJobRecord bool              // the change writes the job's own record
+	excludesOthers  bool              // see chunkEdit
 }
 
 // changeTasks adds the change that applies edits of a job's chunks. It ends the job if this is the job's last change.
@@ -97,6 +98,12 @@
 	for _, condition := range t.job.ChunkConditions(edit.chunk) {
 		t.modRevisions[condition.Key] = condition.ModRevision
 	}
+	if edit.excludesOthers {
+		t.excludesOthers = true
+		for _, condition := range t.job.FurtherChunkConditions() {
+			t.modRevisions[condition.Key] = condition.ModRevision
+		}
+	}
 	t.bindings = append(t.bindings, edit.bindings...)
 	t.write(t.job.EncodeChunk(edit.chunk, edit.tasks))
 	t.writesJobRecord = t.writesJobRecord || edit.chunk == 0
@@ -119,9 +126,9 @@
 }
 
 // endOrMarkJob makes a change end its job if the whole job is in one record and no task is left to run or release.
-// Otherwise it adds a write of the job's own record in two cases. If the job fails, that record holds the mark. If
+// Otherwise it adds a write of the job's own record in three cases. If the job fails, that record holds the mark. If
 // all tasks must be in one zone, the write keeps concurrent bindings in different chunks from choosing different
-// zones.
+// zones. If the change has to exclude others, these fail because of the write.
 func (c *cycle) endOrMarkJob(change *taskChange, failsJob bool) {
 	job := change.job
 	inOneRecord := len(job.FurtherChunkKeys()) == 0 && job.ChunkCount() == 1
@@ -131,7 +138,7 @@
 		change.transaction.Ops = c.finalOps(job, wire.JobDone, change.doneCount)
 	case inOneRecord && job.Stopping() && change.boundCount == 0:
 		change.transaction.Ops = c.finalOps(job, job.CancelledStatus(), change.doneCount)
-	case !change.writesJobRecord && (failsJob || choosesZone):
+	case !change.writesJobRecord && (failsJob || choosesZone || change.excludesOthers):
 		change.write(job.EncodeChunk(0, nil))
 	}
 }
--- a/internal/scheduler/waitreason.go
+++ b/internal/scheduler/waitreason.go
@@ -17,6 +17,7 @@
 	waitGangAttempt     waitReason = "last attempt not released, or a change in flight"
 	waitChangeInFlight  waitReason = "record change in flight"
 	waitRecordFull      waitReason = "record full"
+	waitRecordSplit     waitReason = "record full, its tasks are being divided among more records"
 	waitRecordMigration waitReason = "records can't be split far enough"
 )
 
--- a/internal/simulation/testregion_test.go
+++ b/internal/simulation/testregion_test.go
@@ -43,6 +43,8 @@
 	streamWriteCopyScenario  randomStream = 95
 	streamSpreadScenario     randomStream = 96
 	streamSpreadRegion       randomStream = 97
+	streamOwnMachineScenario randomStream = 98
+	streamOwnMachineRegion   randomStream = 99
 )
 
 // requestDrainTime is how long requests may be in flight after the end of a scenario.
