--- a/internal/clusterstate/migration_test.go
+++ b/internal/clusterstate/migration_test.go
@@ -294,3 +294,39 @@
 		}
 	})
 }
+
+// TestMigratedRecordsHoldTasksOnOwnMachines guards against a migration that the key-value store refuses: of a job whose
+// tasks are bound to a machine each when the value limit falls.
+func TestMigratedRecordsHoldTasksOnOwnMachines(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store, limits := newRecordStore(), record.NewSizeLimits(1740, len("vm-000000"))
+		job := record.Job{SubmittedAtMs: 1764600000000, Spec: wire.JobSpec{
+			ID: "run-7", Class: "c", Team: "t", Priority: wire.PriorityNormal, GPUs: 1,
+			Kind:      rapid.SampledFrom([]wire.JobKind{wire.KindArray, wire.KindService}).Draw(t, "kind"),
+			TaskCount: rapid.IntRange(60, 600).Draw(t, "tasks"),
+		}}
+		store.commit(t, nil, []wire.Op{{PutKey: record.JobKey(job.Spec.ID), Value: wire.MustEncode(job)}})
+		for chunk := range job.ChunkCount() {
+			var tasks []record.Task
+			first, end := job.TaskRange(chunk)
+			for index := first; index < end; index++ {
+				tasks = append(tasks, record.Task{
+					Index: index, State: record.TaskBound, Attempt: 1, Machine: fmt.Sprintf("vm-%06d", index), Session: 1,
+				})
+			}
+			store.commit(t, nil, []wire.Op{job.EncodeTasks(chunk, tasks)})
+		}
+		for steps := 0; store.state.Jobs[job.Spec.ID].NeedsMigration(limits); steps++ {
+			step, ok := store.state.Jobs[job.Spec.ID].MigrateChunk(limits, 4)
+			if !ok || steps > record.FixedChunkCount(job.Spec.TaskCount) {
+				t.Fatalf("the job can't be migrated after %d steps", steps)
+			}
+			for _, op := range step.Ops {
+				if op.PutKey != "" && wire.JSONSize(op.Value) > limits.MaxBytes {
+					t.Fatalf("record of %d bytes", wire.JSONSize(op.Value))
+				}
+			}
+			store.commit(t, step.Conditions, step.Ops)
+		}
+	})
+}
