--- a/internal/clusterstate/migration_test.go
+++ b/internal/clusterstate/migration_test.go
@@ -310,8 +310,9 @@
 			var tasks []record.Task
 			first, end := job.TaskRange(chunk)
 			for index := first; index < end; index++ {
+				machine := fmt.Sprintf("vm-%06d", index)
 				tasks = append(tasks, record.Task{
-					Index: index, State: record.TaskBound, Attempt: 1, Machine: fmt.Sprintf("vm-%06d", index), Session: 1,
+					Index: index, State: record.TaskBound, Attempt: 1, Machine: machine, Session: 1,
 				})
 			}
 			store.commit(t, nil, []wire.Op{job.EncodeTasks(chunk, tasks)})
