--- a/internal/scheduler/chunkedit.go
+++ b/internal/scheduler/chunkedit.go
@@ -18,7 +18,7 @@
 	tasks       map[int]record.Task // state after the edit, by task index
 	shards      map[int]bool        // shards whose ownership is a condition of the edit
 	bindings    []inFlightBinding
-	encodedSize int  // at most; size of the edited chunk as JSON, in bytes; 0 if not computed yet
+	encodedSize int  // upper bound of the size of the edited chunk as JSON, in bytes; 0 if not computed yet
 	failsJob    bool // a task of the chunk has failed with no retry left
 	// excludesOthers means that no other change of the job's tasks may be applied between the state that the edit is
 	// based on and the edit, and that none based on that state may be applied after it.
--- a/internal/scheduler/recordmigration.go
+++ b/internal/scheduler/recordmigration.go
@@ -18,7 +18,7 @@
 })
 
 // needsMigration reports whether a job's records have to be migrated before they are written again. If so, it
-// requests the migration, unless that of the chunks to a smaller width is requested already.
+// requests the migration, unless the narrowing of the job's chunks is requested already.
 func (c *cycle) needsMigration(job *clusterstate.Job) bool {
 	if c.narrowings.requested(job.Spec.ID) {
 		return true
