scheduler: the test of demand for full records leaves no capacity

Cause: beside free machines no demand arises for tasks of full records anyway; the test passed without the fix. Change: all idle machines are occupied by tasks of low priority.

--- a/internal/scheduler/narrowing_test.go
+++ b/internal/scheduler/narrowing_test.go
@@ -260,6 +260,18 @@
 	})
 }
 
+// occupyIdleMachines binds a task of low priority to each machine without one, which leaves no capacity.
+func (f *testCluster) occupyIdleMachines() {
+	for name, machine := range f.cluster.Machines {
+		if len(machine.Bindings) > 0 {
+			continue
+		}
+		spec := ownMachineSpec(wire.KindArray, 1, 1, false)
+		spec.ID, spec.Priority = "run-of-"+name, wire.PriorityLow
+		f.addJob(spec, boundTask(0, name))
+	}
+}
+
 // TestNoMachinesForTasksOfFullRecords guards against machines that are rented, and tasks that are stopped, for tasks
 // that no record of their job has space for.
 func TestNoMachinesForTasksOfFullRecords(t *testing.T) {
@@ -273,6 +285,7 @@
 		putFullJob(t, fixture, spec, 64)
 		fixture.setReadsNarrowedChunks("node-3", false)
 		fixture.scheduleUntilSettled()
+		fixture.occupyIdleMachines()
 		home := record.ShardOf(spec.ID, testShards)
 		fixture.own(record.LeaderShard, fmt.Sprintf("node-%d", home))
 		c, _ := fixture.runCycle(home)
